The whole path, thin: daemon, operators' command line, stand-ins, demonstration

Conclusion: `lentildev demo` streams a completion, runs one order once through two daemons and ends a stream with its withdrawn key.

--- /dev/null
+++ b/cmd/lentilctl/main.go
@@ -0,0 +1,12 @@
+// Command lentilctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"lentilproxy/io/shell"
+)
+
+func main() {
+	os.Exit(shell.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/place/holder.go
@@ -0,0 +1,227 @@
+package place
+
+import (
+	"time"
+
+	"lentilproxy/core/value"
+)
+
+// Permit allows a host to send requests to one instance.
+type Permit struct {
+	Instance string `json:"instance"`
+	Model    string `json:"model"`
+	Engine   string `json:"engine"`
+	// Epoch is that of the owner who gave the permit.
+	Epoch int64 `json:"epoch"`
+	// Duration is how long new requests may be sent, from the instant at which the permit was asked for.
+	Duration time.Duration `json:"duration"`
+}
+
+// Use reports what a host did with an instance since its last report.
+type Use struct {
+	Instance string `json:"instance"`
+	InFlight int    `json:"in_flight"`
+	Requests int    `json:"requests"`
+	// Returned permits are not used any more.
+	Returned bool `json:"returned,omitempty"`
+	// Engine is where the instance is; owners know it themselves.
+	Engine string `json:"-"`
+}
+
+type heldPermit struct {
+	permit   Permit
+	until    time.Time
+	inFlight int
+	requests int
+	lastUse  time.Time
+	revoked  bool
+}
+
+// Holder keeps the permits of one host. It is not safe for concurrent use.
+type Holder struct {
+	permits map[string]*heldPermit
+	models  map[string]value.Set[string]
+	// returned permits are reported until the owner confirms.
+	returned map[string]string
+	// revoked instances are refused until any permit that is still on its way has ended.
+	revoked map[string]tombstone
+}
+
+type tombstone struct {
+	until time.Time
+	epoch int64
+}
+
+// NewHolder returns a holder without permits.
+func NewHolder() *Holder {
+	return &Holder{
+		permits:  map[string]*heldPermit{},
+		models:   map[string]value.Set[string]{},
+		returned: map[string]string{},
+		revoked:  map[string]tombstone{},
+	}
+}
+
+// Add records a permit that was asked for at an instant.
+func (holder *Holder) Add(sentAt time.Time, permit Permit) {
+	if grave, found := holder.revoked[permit.Instance]; found && permit.Epoch <= grave.epoch {
+		return
+	}
+	delete(holder.returned, permit.Instance)
+	until := sentAt.Add(permit.Duration)
+	held := holder.permits[permit.Instance]
+	if held == nil {
+		held = &heldPermit{permit: permit, lastUse: sentAt}
+		holder.permits[permit.Instance] = held
+		if holder.models[permit.Model] == nil {
+			holder.models[permit.Model] = value.NewSet[string]()
+		}
+		holder.models[permit.Model].Add(permit.Instance)
+	}
+	if held.revoked && permit.Epoch > held.permit.Epoch {
+		held.revoked = false
+		held.until = until
+	}
+	held.permit.Epoch = max(held.permit.Epoch, permit.Epoch)
+	if !held.revoked && until.After(held.until) {
+		held.until = until
+	}
+}
+
+// Usable returns the permits for a model that new requests may be sent under.
+func (holder *Holder) Usable(now time.Time, model string) []Permit {
+	var usable []Permit
+	for _, instance := range value.Sorted(holder.models[model]) {
+		held := holder.permits[instance]
+		if !held.revoked && now.Before(held.until) {
+			usable = append(usable, held.permit)
+		}
+	}
+	return usable
+}
+
+// Start counts a request under a permit, and says no if the permit has ended.
+func (holder *Holder) Start(now time.Time, instance string) bool {
+	held := holder.permits[instance]
+	if held == nil || held.revoked || !now.Before(held.until) {
+		return false
+	}
+	held.inFlight++
+	held.requests++
+	held.lastUse = now
+	return true
+}
+
+// Valid says whether a counted request may still be sent now.
+func (holder *Holder) Valid(now time.Time, instance string) bool {
+	held := holder.permits[instance]
+	return held != nil && now.Before(held.until)
+}
+
+// Stop counts the end of a request, and says whether the permit is to be returned now.
+func (holder *Holder) Stop(instance string) (returned bool) {
+	held := holder.permits[instance]
+	if held == nil {
+		return false
+	}
+	held.inFlight--
+	if held.inFlight > 0 || !held.revoked {
+		return false
+	}
+	holder.drop(instance)
+	return true
+}
+
+// Revoke ends the permits for instances that no request uses, and returns those; the others are left as they are.
+// Permits of later epochs than the given one are not concerned.
+func (holder *Holder) Revoke(now time.Time, epoch int64, instances []string) (returned []string) {
+	for _, instance := range instances {
+		held := holder.permits[instance]
+		if held != nil && (held.inFlight > 0 || held.permit.Epoch > epoch) {
+			continue
+		}
+		if held != nil {
+			holder.drop(instance)
+		}
+		holder.revoked[instance] = tombstone{until: now.Add(PermitDuration), epoch: epoch}
+		returned = append(returned, instance)
+	}
+	return returned
+}
+
+// Lost ends the permit for an instance that its engine no longer has.
+func (holder *Holder) Lost(instance string) {
+	held := holder.permits[instance]
+	if held == nil {
+		return
+	}
+	held.revoked = true
+	if held.inFlight == 0 {
+		holder.drop(instance)
+	}
+}
+
+// RevokeAll ends the permits of epochs up to the given one on some engines, and returns what is still in use.
+func (holder *Holder) RevokeAll(now time.Time, epoch int64, engines value.Set[string]) []Use {
+	var inUse []Use
+	for _, instance := range value.Sorted(holder.permits) {
+		held := holder.permits[instance]
+		if held.permit.Epoch > epoch || !engines.Has(held.permit.Engine) {
+			continue
+		}
+		if held.inFlight > 0 {
+			held.revoked = true
+			inUse = append(inUse, Use{Instance: instance, InFlight: held.inFlight})
+			continue
+		}
+		holder.Revoke(now, epoch, []string{instance})
+	}
+	return inUse
+}
+
+func (holder *Holder) drop(instance string) {
+	held := holder.permits[instance]
+	holder.returned[instance] = held.permit.Engine
+	delete(holder.permits, instance)
+	delete(holder.models[held.permit.Model], instance)
+	if len(holder.models[held.permit.Model]) == 0 {
+		delete(holder.models, held.permit.Model)
+	}
+}
+
+// Reports returns what to report to the owners, and resets the counts. Permits that ended unused are returned.
+func (holder *Holder) Reports(now time.Time) []Use {
+	for instance, grave := range holder.revoked {
+		if now.After(grave.until) {
+			delete(holder.revoked, instance)
+		}
+	}
+	var uses []Use
+	for _, instance := range value.Sorted(holder.permits) {
+		held := holder.permits[instance]
+		if held.inFlight == 0 && !now.Before(held.until) {
+			holder.drop(instance)
+			continue
+		}
+		uses = append(uses, Use{
+			Instance: instance, Engine: held.permit.Engine, InFlight: held.inFlight, Requests: held.requests,
+		})
+		held.requests = 0
+	}
+	for _, instance := range value.Sorted(holder.returned) {
+		uses = append(uses, Use{Instance: instance, Engine: holder.returned[instance], Returned: true})
+	}
+	return uses
+}
+
+// Confirmed records that the owner took a report.
+func (holder *Holder) Confirmed(uses []Use) {
+	for _, use := range uses {
+		if use.Returned {
+			delete(holder.returned, use.Instance)
+		}
+	}
+}
+
+// Count returns the number of permits.
+func (holder *Holder) Count() int { return len(holder.permits) }
--- /dev/null
+++ b/io/bench/demo.go
@@ -0,0 +1,327 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"lentilproxy/core/conf"
+	"lentilproxy/core/decl"
+	"lentilproxy/core/setup"
+	"lentilproxy/io/admin"
+	"lentilproxy/io/daemon"
+	"lentilproxy/io/fake"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	demoReadyWait   = 20 * time.Second
+	demoWithdrawn   = 4 * time.Second
+	demoPoll        = 50 * time.Millisecond
+	demoTokens      = 8
+	demoCallTimeout = 30 * time.Second
+)
+
+type demoCommand struct {
+	Verbose bool `long:"verbose" description:"print the daemons' logs"`
+
+	out io.Writer
+}
+
+// demo is a whole deployment in one process.
+type demo struct {
+	out     io.Writer
+	stands  []*fake.Server
+	daemons []*daemon.Daemon
+	service *fake.Service
+	client  *http.Client
+	key     string
+	keyName string
+	step    int
+}
+
+// Execute implements flags.Commander.
+func (command *demoCommand) Execute([]string) error {
+	demo := &demo{out: command.out, client: &http.Client{Timeout: demoCallTimeout}}
+	defer demo.close()
+	log := logr.Discard()
+	if command.Verbose {
+		log = daemon.NewLog(os.Stderr)
+	}
+	for _, step := range []func() error{
+		func() error { return demo.start(log) },
+		demo.declare, demo.complete, demo.order, demo.withdraw, demo.stop,
+	} {
+		if err := step(); err != nil {
+			return fmt.Errorf("step %d: %w", demo.step, err)
+		}
+	}
+	demo.sayf("everything went as it should")
+	return nil
+}
+
+func (demo *demo) sayf(format string, args ...any) {
+	demo.step++
+	_, _ = fmt.Fprintf(demo.out, "%d. %s\n", demo.step, fmt.Sprintf(format, args...))
+}
+
+func (demo *demo) close() {
+	for _, running := range demo.daemons {
+		running.Stop()
+	}
+	for _, stand := range demo.stands {
+		stand.Close()
+	}
+}
+
+func (demo *demo) stand(handler http.Handler) (string, error) {
+	server, err := fake.Serve("127.0.0.1:0", handler)
+	if err != nil {
+		return "", err
+	}
+	demo.stands = append(demo.stands, server)
+	return server.Address(), nil
+}
+
+// start runs the stand-ins and two daemons.
+func (demo *demo) start(log logr.Logger) error {
+	tableAddress, err := demo.stand(fake.NewTable())
+	if err != nil {
+		return err
+	}
+	for number := range 2 {
+		settings := &setup.Settings{
+			Host:     setup.Host{Name: fmt.Sprintf("host-%d", number+1), DataCentre: "dc-1"},
+			Listen:   setup.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0", AdvertisePeers: "127.0.0.1:0"},
+			Platform: setup.Platform{Table: tableAddress},
+			Weights:  setup.Weights{LoadsPerSecond: setup.DefaultLoadsPerSec, Parallel: setup.DefaultParallel, Policy: setup.DefaultPolicy},
+			Traffic: setup.Traffic{
+				MaxBodyBytes: setup.DefaultMaxBodyBytes, QueueTimeout: setup.DefaultQueueTimeout,
+				StopTimeout: setup.DefaultStopTimeout, DefaultMaxTokens: setup.DefaultMaxTokens,
+			},
+		}
+		running, err := daemon.New(settings, daemon.WithLog(log))
+		if err != nil {
+			return err
+		}
+		demo.daemons = append(demo.daemons, running)
+	}
+	demo.sayf("two daemons run, for callers at %s and %s", demo.daemons[0].Callers(), demo.daemons[1].Callers())
+	return await(demoReadyWait, "both daemons are ready and in the roster", func() bool {
+		for _, running := range demo.daemons {
+			if !running.Node().Ready(time.Now()) || len(running.Node().View().State().Roster().Members) != len(demo.daemons) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func await(limit time.Duration, what string, done func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !done() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%w: %s did not happen within %s", errFailed, what, limit)
+		}
+		time.Sleep(demoPoll)
+	}
+	return nil
+}
+
+// declare applies the resources and makes a key, through the first daemon.
+func (demo *demo) declare() error {
+	weights, err := demo.stand(fake.NewWeights(fake.WeightsOptions{
+		LoadTime: defaultLoadTime, FullSpeed: defaultFullSpeed, PerSecond: setup.DefaultLoadsPerSec, Parallel: setup.DefaultParallel,
+	}))
+	if err != nil {
+		return err
+	}
+	engine, err := demo.stand(fake.NewEngine(fake.EngineOptions{Slots: 4, Weights: weights, StepTime: 20 * time.Millisecond}))
+	if err != nil {
+		return err
+	}
+	demo.service = fake.NewService()
+	service, err := demo.stand(demo.service)
+	if err != nil {
+		return err
+	}
+	file, faults := decl.Parse("demo.ini", fmt.Appendf(nil, demoResources, engine, service))
+	if len(faults) > 0 {
+		return fmt.Errorf("%w: %v", errFailed, faults[0])
+	}
+	resources, faults := conf.ParseResources(file)
+	if len(faults) > 0 {
+		return fmt.Errorf("%w: %v", errFailed, faults[0])
+	}
+	var applied admin.ApplyResult
+	if err = demo.operate("/v1/apply", admin.ApplyRequest{Resources: resources}, &applied); err != nil {
+		return err
+	}
+	if !applied.Accepted.Status {
+		return fmt.Errorf("%w: the resources were not accepted: %+v", errFailed, applied)
+	}
+	demo.sayf("%d resources are accepted as revision %d", len(resources), applied.Revision)
+	var granted admin.GrantResult
+	if err = demo.operate("/v1/keys/grant", admin.GrantRequest{Workspace: "shop"}, &granted); err != nil {
+		return err
+	}
+	demo.key, demo.keyName = granted.Key, granted.Name
+	demo.sayf("key %s was granted to workspace shop", granted.Name)
+	return nil
+}
+
+func (demo *demo) operate(path string, body, result any) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	response, err := demo.client.Post("http://"+demo.daemons[0].Operators()+path, "application/json", bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(result)
+}
+
+func (demo *demo) post(daemonNumber int, path, idempotencyKey, body string) (*http.Response, error) {
+	url := "http://" + demo.daemons[daemonNumber].Callers() + path
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+demo.key)
+	request.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	return demo.client.Do(request)
+}
+
+func completionBody(tokens int) string {
+	return fmt.Sprintf(`{"model":"ribs@v2","prompt":"A rib is bent. What now?","stream":true,"max_tokens":%d}`, tokens)
+}
+
+// complete streams a completion through the second daemon.
+func (demo *demo) complete() error {
+	response, err := demo.post(1, "/v1/completions", "", completionBody(demoTokens))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	events := strings.Count(string(content), "data: {")
+	if response.StatusCode != http.StatusOK || events != demoTokens || !strings.Contains(string(content), "data: [DONE]") {
+		return fmt.Errorf("%w: the completion is not whole: %s %s", errFailed, response.Status, content)
+	}
+	demo.sayf("host-2 streamed %d events of a completion on %s", events, response.Header.Get("X-Lentil-Version"))
+	return nil
+}
+
+// order sends one order twice, to different daemons.
+func (demo *demo) order() error {
+	var answers []string
+	for number := range demo.daemons {
+		response, err := demo.post(number, "/services/orders/new", "order-17", `{"item":"rib"}`)
+		if err != nil {
+			return err
+		}
+		content, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return err
+		}
+		if response.StatusCode != http.StatusCreated {
+			return fmt.Errorf("%w: the order was answered %s %s", errFailed, response.Status, content)
+		}
+		answers = append(answers, string(content))
+	}
+	if runs := demo.service.Stats().Executions["order-17"]; runs != 1 || answers[0] != answers[1] {
+		return fmt.Errorf("%w: the order ran %d times, answers %v", errFailed, runs, answers)
+	}
+	demo.sayf("the order ran once, and both daemons gave the same answer")
+	return nil
+}
+
+// withdraw ends the key while a completion streams.
+func (demo *demo) withdraw() error {
+	response, err := demo.post(1, "/v1/completions", "", completionBody(1000))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	began := time.Now()
+	var withdrawn admin.ApplyResult
+	if err = demo.operate("/v1/keys/withdraw", admin.NamedRequest{Name: demo.keyName}, &withdrawn); err != nil {
+		return err
+	}
+	content, _ := io.ReadAll(response.Body)
+	took := time.Since(began)
+	if took > demoWithdrawn || strings.Contains(string(content), "[DONE]") || !strings.Contains(string(content), "key_withdrawn") {
+		return fmt.Errorf("%w: the stream did not end with the key (%s)", errFailed, took)
+	}
+	again, err := demo.post(0, "/v1/completions", "", completionBody(1))
+	if err != nil {
+		return err
+	}
+	_ = again.Body.Close()
+	if again.StatusCode != http.StatusUnauthorized {
+		return fmt.Errorf("%w: the withdrawn key was answered %s", errFailed, again.Status)
+	}
+	demo.sayf("the key was withdrawn: the open stream ended after %d ms, and new requests are refused", took.Milliseconds())
+	return nil
+}
+
+func (demo *demo) stop() error {
+	for _, running := range demo.daemons {
+		running.Stop()
+		if err := running.Err(); err != nil {
+			return err
+		}
+	}
+	demo.sayf("both daemons stopped in good order")
+	return nil
+}
+
+const demoResources = `
+[workspace "shop"]
+weight = 1
+
+[limit "shop"]
+rate_tokens_per_second = 2000
+burst_tokens = 4000
+
+[adapter "shop/ribs"]
+base_model = base-1
+default_version = v1
+
+[version "shop/ribs@v1"]
+source = ribs/1
+
+[version "shop/ribs@v2"]
+source = ribs/2
+
+[backend_server "engine-1"]
+address = %s
+data_centre = dc-1
+base_model = base-1
+slots = 4
+
+[route "orders"]
+workspaces = shop
+dedup_window = 24h
+
+[backend_server "orders-1"]
+address = %s
+data_centre = dc-1
+service = orders
+`
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,157 @@
+// Package daemon wires one daemon together: listeners, node, gate and operators' interface.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lentilproxy/core/setup"
+	"lentilproxy/io/admin"
+	"lentilproxy/io/gate"
+	"lentilproxy/io/ledger"
+	"lentilproxy/io/node"
+	"lentilproxy/io/report"
+	"lentilproxy/io/table"
+
+	"github.com/go-logr/logr"
+	registry "github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	metricsInterval = time.Second
+	// notReadyTime is how long a stopping daemon still takes requests, so that the balancer can notice.
+	notReadyTime = time.Second
+	closeTimeout = 5 * time.Second
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings  *setup.Settings
+	log       logr.Logger
+	node      *node.Node
+	gate      *gate.Gate
+	ledger    *ledger.Ledger
+	reports   *report.Keeper
+	servers   []*http.Server
+	listeners []net.Listener
+	metrics   func() error
+	stopOnce  sync.Once
+	done      chan struct{}
+}
+
+// Option configures a daemon.
+type Option func(*Daemon)
+
+// WithLog sets the log.
+func WithLog(log logr.Logger) Option { return func(daemon *Daemon) { daemon.log = log } }
+
+// New opens the listeners and starts a daemon.
+func New(settings *setup.Settings, options ...Option) (*Daemon, error) {
+	daemon := &Daemon{settings: settings, log: logr.Discard(), done: make(chan struct{})}
+	for _, option := range options {
+		option(daemon)
+	}
+	if err := daemon.listen(); err != nil {
+		return nil, err
+	}
+	metricsRegistry := registry.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: metricsRegistry, Gatherer: metricsRegistry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "lentil", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	daemon.metrics = closer.Close
+	platform := table.New(settings.Platform.Table)
+	daemon.node = node.New(settings, platform, platform, daemon.listeners[2], node.WithLog(daemon.log), node.WithMetrics(scope))
+	daemon.ledger = ledger.New(platform, settings.Host.Name)
+	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives)
+	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
+	operators, err := admin.New(daemon.node, admin.WithMetrics(reporter.HTTPHandler()), admin.WithReports(daemon.reports))
+	if err != nil {
+		return nil, oops.Code("internal").Wrap(err)
+	}
+	daemon.serve(daemon.gate.Server(), daemon.listeners[0])
+	daemon.serve(&http.Server{Handler: operators, ReadHeaderTimeout: closeTimeout}, daemon.listeners[1])
+	daemon.log.Info("started", "host", settings.Host.Name, "callers", daemon.Callers(), "operators", daemon.Operators(), "peers", settings.Listen.AdvertisePeers)
+	return daemon, nil
+}
+
+// listen opens all listeners or none.
+func (daemon *Daemon) listen() error {
+	listen := daemon.settings.Listen
+	for _, address := range []string{listen.Callers, listen.Operators, listen.Peers} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range daemon.listeners {
+				_ = open.Close()
+			}
+			return oops.Code("listen_failed").With("address", address).Wrap(err)
+		}
+		daemon.listeners = append(daemon.listeners, listener)
+	}
+	if listen.AdvertisePeers == listen.Peers {
+		// Port 0 lets the system choose.
+		daemon.settings.Listen.AdvertisePeers = daemon.listeners[2].Addr().String()
+	}
+	return nil
+}
+
+func (daemon *Daemon) serve(server *http.Server, listener net.Listener) {
+	daemon.servers = append(daemon.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			daemon.log.Error(err, "a listener ended", "address", listener.Addr().String())
+		}
+	}()
+}
+
+// Callers returns the address for callers, as IP:port.
+func (daemon *Daemon) Callers() string { return daemon.listeners[0].Addr().String() }
+
+// Operators returns the address for operators, as IP:port.
+func (daemon *Daemon) Operators() string { return daemon.listeners[1].Addr().String() }
+
+// Node returns the daemon's part in the coordination.
+func (daemon *Daemon) Node() *node.Node { return daemon.node }
+
+// Failed is closed if the daemon cannot go on; Err tells why.
+func (daemon *Daemon) Failed() <-chan struct{} { return daemon.node.Done() }
+
+// Err returns why the daemon ended by itself, or nil.
+func (daemon *Daemon) Err() error { return daemon.node.Err() }
+
+// Done is closed once the daemon has stopped.
+func (daemon *Daemon) Done() <-chan struct{} { return daemon.done }
+
+// Stop ends the daemon gracefully: it turns not ready, finishes every request, hands over what it owns, and ends.
+func (daemon *Daemon) Stop() {
+	daemon.stopOnce.Do(func() {
+		defer close(daemon.done)
+		daemon.log.Info("stopping", "open", daemon.gate.Open())
+		daemon.gate.BeginStop()
+		ctx, cancel := context.WithTimeout(context.Background(), daemon.settings.Traffic.StopTimeout)
+		defer cancel()
+		time.Sleep(notReadyTime)
+		if err := daemon.servers[0].Shutdown(ctx); err != nil {
+			daemon.log.Error(err, "requests were still open at the stop timeout", "open", daemon.gate.Open())
+		}
+		closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancelClosing()
+		daemon.node.Stop(closing)
+		daemon.ledger.Close()
+		daemon.reports.Close(closing)
+		for _, server := range daemon.servers {
+			_ = server.Close()
+		}
+		_ = daemon.metrics()
+		daemon.log.Info("stopped")
+	})
+	<-daemon.done
+}
--- /dev/null
+++ b/io/engine/engine.go
@@ -0,0 +1,125 @@
+// Package engine is the client of backend servers that run models.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lentilproxy"
+
+	"github.com/samber/oops"
+)
+
+const (
+	// FencingHeader carries the fencing number of an order.
+	FencingHeader = "X-Fencing-Number"
+	// OrderTimeout bounds a load or an unload.
+	OrderTimeout = 30 * time.Second
+	// StatusTimeout bounds a status read.
+	StatusTimeout = 2 * time.Second
+
+	maxStatusBytes = 4 << 20
+)
+
+// Status is what an engine says of itself.
+type Status struct {
+	Instances []string
+	// Running is the number of requests that the engine runs.
+	Running int
+}
+
+// Client gives orders to one engine.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the engine at IP:port.
+func New(address string, client *http.Client) *Client {
+	return &Client{base: "http://" + address, http: client}
+}
+
+type adapterOrder struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path,omitempty"`
+}
+
+// Load implements lentilproxy.Engine.
+func (client *Client) Load(ctx context.Context, order lentilproxy.LoadOrder) error {
+	return client.order(ctx, "/v1/load_lora_adapter", adapterOrder{Name: order.Instance, Path: order.Source}, order.Fencing, http.StatusOK)
+}
+
+// Unload implements lentilproxy.Engine. An instance that is not loaded counts as unloaded.
+func (client *Client) Unload(ctx context.Context, order lentilproxy.UnloadOrder) error {
+	return client.order(ctx, "/v1/unload_lora_adapter", adapterOrder{Name: order.Instance}, order.Fencing, http.StatusOK, http.StatusNotFound)
+}
+
+func (client *Client) order(ctx context.Context, path string, order adapterOrder, fencing int64, accepted ...int) error {
+	failure := oops.Code("engine_order_failed").With("path", path, "instance", order.Name)
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return failure.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.base+path, bytes.NewReader(body))
+	if err != nil {
+		return failure.Wrap(err)
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(FencingHeader, strconv.FormatInt(fencing, 10))
+	response, err := client.http.Do(request)
+	if err != nil {
+		return failure.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+	for _, status := range accepted {
+		if response.StatusCode == status {
+			return nil
+		}
+	}
+	return failure.Errorf("the engine answered %s: %s", response.Status, bytes.TrimSpace(content))
+}
+
+// Instances implements lentilproxy.Engine.
+func (client *Client) Instances(ctx context.Context) ([]string, error) {
+	status, err := client.Status(ctx)
+	return status.Instances, err
+}
+
+// Status reads what is loaded and running.
+func (client *Client) Status(ctx context.Context) (Status, error) {
+	failure := oops.Code("engine_unavailable")
+	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+"/v1/models", http.NoBody)
+	if err != nil {
+		return Status{}, failure.Wrap(err)
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return Status{}, failure.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+		Running int `json:"running"`
+	}
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&list); err != nil {
+		return Status{}, failure.Wrap(err)
+	}
+	status := Status{Running: list.Running}
+	for _, entry := range list.Data {
+		status.Instances = append(status.Instances, entry.ID)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/io/node/config.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lentilproxy"
+	"lentilproxy/core/conf"
+
+	"github.com/samber/oops"
+)
+
+// Rows of the configuration in the table.
+const (
+	rowHead      = "conf/head"
+	prefixLog    = "conf/log/"
+	prefixRes    = "conf/res/"
+	prefixToken  = "conf/token/"
+	prefixHost   = "host/"
+	scanPageSize = 2000
+	tailPageSize = 200
+	// maxCommitTries bounds the tries of one commit.
+	maxCommitTries = 8
+	commitBackoff  = 50 * time.Millisecond
+)
+
+type headRow struct {
+	Revision int64 `json:"revision"`
+}
+
+func logKey(revision int64) string    { return fmt.Sprintf("%s%020d", prefixLog, revision) }
+func resourceKey(ref conf.Ref) string { return prefixRes + string(ref.Kind) + "/" + ref.Name }
+
+func decodeHead(row lentilproxy.Row) (int64, error) {
+	if row.Version == 0 {
+		return 0, nil
+	}
+	var head headRow
+	err := json.Unmarshal(row.Value, &head)
+	return head.Revision, err
+}
+
+func mustEncode(item any) []byte {
+	value, err := json.Marshal(item)
+	if err != nil {
+		panic("node: own messages cannot fail to encode: " + err.Error())
+	}
+	return value
+}
+
+// readHead asks the table for the newest revision, which is a proof if this host holds it.
+func (control *control) readHead(_ time.Time, done func()) {
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		sentAt := time.Now()
+		result, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{rowHead}})
+		if err != nil {
+			return nil
+		}
+		revision, err := decodeHead(result.Row(rowHead))
+		if err != nil {
+			return nil
+		}
+		return func(now time.Time) {
+			control.tracker.Head(revision, sentAt)
+			if revision > control.state.Revision() {
+				control.fetch(now)
+			}
+			control.publishProof(now)
+		}
+	})
+}
+
+// fetch reads the changes that this host lacks.
+func (control *control) fetch(time.Time) {
+	if control.fetching {
+		return
+	}
+	control.fetching = true
+	held := control.state
+	control.background(func() { control.fetching = false }, func(ctx context.Context) func(time.Time) {
+		changes, snapshot, err := control.node.changesAfter(ctx, held)
+		if err != nil {
+			return nil
+		}
+		return func(now time.Time) {
+			if snapshot != nil {
+				control.replace(now, snapshot)
+			}
+			control.adopt(now, changes)
+		}
+	})
+}
+
+// changesAfter reads the changes after a state from the table; if the log does not reach back far enough, it
+// reads a whole snapshot as well.
+func (node *Node) changesAfter(ctx context.Context, held *conf.State) ([]conf.Change, *conf.State, error) {
+	var snapshot *conf.State
+	if held.Revision() == 0 {
+		loaded, err := node.snapshot(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		snapshot, held = loaded, loaded
+	}
+	for {
+		changes, err := node.tailAfter(ctx, held.Revision())
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(changes) == 0 || changes[0].Revision == held.Revision()+1 {
+			return changes, snapshot, nil
+		}
+		if snapshot, err = node.snapshot(ctx); err != nil {
+			return nil, nil, err
+		}
+		held = snapshot
+	}
+}
+
+func (node *Node) tailAfter(ctx context.Context, revision int64) ([]conf.Change, error) {
+	var changes []conf.Change
+	for {
+		result, err := node.table.Read(ctx, lentilproxy.ReadRequest{
+			Prefixes: []string{prefixLog}, After: logKey(revision), Limit: tailPageSize,
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range result.Rows {
+			var change conf.Change
+			if err = json.Unmarshal(row.Value, &change); err != nil {
+				return nil, oops.Code("bad_row").With("row", row.Key).Wrap(err)
+			}
+			changes = append(changes, change)
+			revision = change.Revision
+		}
+		if len(result.Rows) < tailPageSize {
+			return changes, nil
+		}
+	}
+}
+
+// snapshot reads all resources. Changes made meanwhile are in the log after the revision that it returns.
+func (node *Node) snapshot(ctx context.Context) (*conf.State, error) {
+	result, err := node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{rowHead}})
+	if err != nil {
+		return nil, err
+	}
+	revision, err := decodeHead(result.Row(rowHead))
+	if err != nil {
+		return nil, err
+	}
+	var resources []conf.Resource
+	after := ""
+	for {
+		page, err := node.table.Read(ctx, lentilproxy.ReadRequest{Prefixes: []string{prefixRes}, After: after, Limit: scanPageSize})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			var resource conf.Resource
+			if err = json.Unmarshal(row.Value, &resource); err != nil {
+				return nil, oops.Code("bad_row").With("row", row.Key).Wrap(err)
+			}
+			resources = append(resources, resource)
+			after = row.Key
+		}
+		if len(page.Rows) < scanPageSize {
+			return conf.LoadState(revision, resources), nil
+		}
+	}
+}
+
+// catchUp brings the state to a revision and returns it.
+func (node *Node) catchUp(ctx context.Context, revision int64) (*conf.State, error) {
+	for {
+		held := node.View().state
+		if held.Revision() >= revision {
+			return held, nil
+		}
+		changes, snapshot, err := node.changesAfter(ctx, held)
+		if err != nil {
+			return nil, err
+		}
+		control := node.traffic.control
+		if !node.do(ctx, func(now time.Time) {
+			if snapshot != nil {
+				control.replace(now, snapshot)
+			}
+			control.adopt(now, changes)
+		}) {
+			return nil, oops.Code("node_stopping").Errorf("the node is stopping")
+		}
+	}
+}
+
+// CommitStatus is the outcome of a commit.
+type CommitStatus string
+
+// The outcomes of a commit.
+const (
+	// Committed changes took effect.
+	Committed CommitStatus = "committed"
+	// Rejected changes break a rule; nothing was written.
+	Rejected CommitStatus = "rejected"
+	// NotCommitted changes had no effect, since the table was away or others were faster.
+	NotCommitted CommitStatus = "not_committed"
+	// CommitUnknown changes may or may not have taken effect.
+	CommitUnknown CommitStatus = "unknown"
+)
+
+// CommitOutcome describes what became of a change.
+type CommitOutcome struct {
+	Status   CommitStatus
+	Revision int64
+	Problems []conf.Problem
+}
+
+// Builder makes a change from the state it is to follow. It returns problems to reject the change, and false to
+// give it up.
+type Builder func(state *conf.State) (conf.Change, []conf.Problem, bool)
+
+// Commit applies one change to the configuration at most once for a token.
+func (node *Node) Commit(ctx context.Context, token string, build Builder) CommitOutcome {
+	unsure := false
+	for try := range maxCommitTries {
+		if try > 0 {
+			select {
+			case <-time.After(commitBackoff << min(try-1, 4)):
+			case <-ctx.Done():
+				return giveUp(unsure)
+			}
+		}
+		outcome, again, doubtful := node.commitOnce(ctx, token, build)
+		unsure = unsure || doubtful
+		if !again {
+			return outcome
+		}
+	}
+	return giveUp(unsure)
+}
+
+func giveUp(unsure bool) CommitOutcome {
+	if unsure {
+		return CommitOutcome{Status: CommitUnknown}
+	}
+	return CommitOutcome{Status: NotCommitted}
+}
+
+func (node *Node) commitOnce(ctx context.Context, token string, build Builder) (outcome CommitOutcome, again, doubtful bool) {
+	result, err := node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{rowHead, prefixToken + token}})
+	if err != nil {
+		return outcome, true, false
+	}
+	if row := result.Row(prefixToken + token); row.Version != 0 {
+		revision, err := decodeHead(row)
+		return CommitOutcome{Status: Committed, Revision: revision}, err != nil, false
+	}
+	head := result.Row(rowHead)
+	revision, err := decodeHead(head)
+	if err != nil {
+		return outcome, true, false
+	}
+	state, err := node.catchUp(ctx, revision)
+	if err != nil || state.Revision() != revision {
+		return outcome, true, false
+	}
+	change, problems, wanted := build(state)
+	if !wanted || len(problems) > 0 {
+		return CommitOutcome{Status: Rejected, Revision: revision, Problems: problems}, false, false
+	}
+	change.Revision = revision + 1
+	change.Token = token
+	stamp(state, &change)
+	committed, err := node.table.Commit(ctx, transaction(head, change))
+	if err != nil {
+		return outcome, true, true
+	}
+	if !committed.Committed {
+		return outcome, true, false
+	}
+	node.do(ctx, func(now time.Time) {
+		control := node.traffic.control
+		control.adopt(now, []conf.Change{change})
+		control.startPush(now)
+	})
+	return CommitOutcome{Status: Committed, Revision: change.Revision}, false, false
+}
+
+// stamp sets the generations and revisions of the resources in a change.
+func stamp(state *conf.State, change *conf.Change) {
+	for index := range change.Puts {
+		resource := &change.Puts[index]
+		resource.Revision = change.Revision
+		resource.Generation = 1
+		if old := state.Get(resource.Ref()); old != nil {
+			resource.Generation = old.Generation + 1
+		}
+	}
+}
+
+// transaction writes a change. The condition on the head row lets only one change follow a revision.
+func transaction(head lentilproxy.Row, change conf.Change) lentilproxy.Transaction {
+	txn := lentilproxy.Transaction{Conditions: []lentilproxy.Condition{{Key: rowHead, Version: head.Version}}}
+	put := func(key string, item any) {
+		txn.Writes = append(txn.Writes, lentilproxy.Write{Key: key, Value: mustEncode(item)})
+	}
+	put(rowHead, headRow{Revision: change.Revision})
+	put(logKey(change.Revision), change)
+	put(prefixToken+change.Token, headRow{Revision: change.Revision})
+	for _, resource := range change.Puts {
+		put(resourceKey(resource.Ref()), resource)
+	}
+	for _, ref := range change.Deletes {
+		txn.Writes = append(txn.Writes, lentilproxy.Write{Key: resourceKey(ref), Delete: true})
+	}
+	if old := change.Revision - keptChanges; old > 0 {
+		txn.Writes = append(txn.Writes, lentilproxy.Write{Key: logKey(old), Delete: true})
+	}
+	return txn
+}
--- /dev/null
+++ b/io/node/fleet.go
@@ -0,0 +1,440 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"lentilproxy"
+	"lentilproxy/core/conf"
+	"lentilproxy/core/fresh"
+	"lentilproxy/core/member"
+	"lentilproxy/core/value"
+
+	"github.com/samber/oops"
+)
+
+const (
+	// polledPeers is the number of peers that are asked at a time while the table answers.
+	polledPeers = 3
+	// fullPollMembers is the largest roster of which everybody is asked once a proof grows old.
+	fullPollMembers = 16
+	// fullPollers is the number of hosts of a larger roster that ask everybody; the others take over their proofs.
+	fullPollers = 4
+	startRetry  = 300 * time.Millisecond
+	// pushFor is how long a host tells the others of its own commit.
+	pushFor = 8 * time.Second
+	// rosterStagger is the delay by rank before a host proposes a roster, so that one of them is first.
+	rosterStagger = 300 * time.Millisecond
+)
+
+// start registers the host and reads the configuration. It says no if the node was ended first.
+func (control *control) start() bool {
+	ctx := control.node.background
+	control.node.traffic.control = control
+	for ctx.Err() == nil {
+		if control.register(ctx) && control.load(ctx) {
+			control.node.traffic.open(time.Now(), control.incarnation)
+			control.ready = true
+			control.node.log.Info("joined", "incarnation", control.incarnation, "revision", control.state.Revision())
+			return true
+		}
+		select {
+		case <-time.After(startRetry):
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+func (control *control) load(ctx context.Context) bool {
+	sentAt := time.Now()
+	changes, snapshot, err := control.node.changesAfter(ctx, conf.NewState())
+	if err != nil {
+		return false
+	}
+	now := time.Now()
+	control.replace(now, snapshot)
+	control.adopt(now, changes)
+	control.tracker.Head(control.state.Revision(), sentAt)
+	control.publishProof(now)
+	return true
+}
+
+func (control *control) self() conf.Member {
+	settings := control.node.settings
+	return conf.Member{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers}
+}
+
+func (control *control) hostRow() member.Heartbeat {
+	return member.Heartbeat{
+		Member: control.self(), Incarnation: control.incarnation, Beat: control.beat, Revision: control.state.Revision(),
+		Leaving: control.node.leaving(),
+	}
+}
+
+func (node *Node) leaving() bool {
+	select {
+	case <-node.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// register takes the next incarnation of the host's name.
+func (control *control) register(ctx context.Context) bool {
+	key := prefixHost + control.node.Name()
+	result, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{key}})
+	if err != nil {
+		return false
+	}
+	row := result.Row(key)
+	var last member.Heartbeat
+	if row.Version != 0 {
+		if err = json.Unmarshal(row.Value, &last); err != nil {
+			return false
+		}
+	}
+	control.incarnation = last.Incarnation + 1
+	committed, err := control.node.table.Commit(ctx, lentilproxy.Transaction{
+		Conditions: []lentilproxy.Condition{{Key: key, Version: row.Version}},
+		Writes:     []lentilproxy.Write{{Key: key, Value: mustEncode(control.hostRow())}},
+	})
+	return err == nil && committed.Committed && control.learnRow(ctx)
+}
+
+func (control *control) learnRow(ctx context.Context) bool {
+	key := prefixHost + control.node.Name()
+	result, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{key}})
+	if err != nil {
+		return false
+	}
+	control.rowVersion = result.Row(key).Version
+	return true
+}
+
+// heartbeat writes the host's row. Another incarnation in the row ends this node.
+func (control *control) heartbeat(_ time.Time, done func()) {
+	control.beat++
+	key := prefixHost + control.node.Name()
+	beat := control.hostRow()
+	version := control.rowVersion
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		result, err := control.node.table.Commit(ctx, lentilproxy.Transaction{
+			Conditions: []lentilproxy.Condition{{Key: key, Version: version}},
+			Writes:     []lentilproxy.Write{{Key: key, Value: mustEncode(beat)}},
+		})
+		if err != nil {
+			return nil
+		}
+		row, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Keys: []string{key}})
+		if err != nil {
+			return nil
+		}
+		var seen member.Heartbeat
+		if json.Unmarshal(row.Row(key).Value, &seen) != nil {
+			return nil
+		}
+		return func(time.Time) { control.sawOwnRow(result.Committed, seen, row.Row(key).Version) }
+	})
+}
+
+func (control *control) sawOwnRow(_ bool, seen member.Heartbeat, version int64) {
+	if seen.Incarnation > control.incarnation {
+		control.node.log.Info("superseded", "incarnation", control.incarnation, "by", seen.Incarnation)
+		control.node.fail(errSuperseded)
+		return
+	}
+	control.rowVersion = version
+}
+
+func (control *control) pollEvery() time.Duration {
+	if control.aging(time.Now()) {
+		return agingPollInterval
+	}
+	return pollInterval
+}
+
+func (control *control) aging(now time.Time) bool {
+	at, proven := control.tracker.ProvenAt()
+	return !proven || now.Sub(at) > agingProof
+}
+
+// poll asks peers for their view. While the table answers, a few are enough to notice what went wrong; once the
+// own proof grows old, a majority is needed.
+func (control *control) poll(now time.Time, done func()) {
+	defer done()
+	peers := control.peers()
+	rand.Shuffle(len(peers), func(left, right int) { peers[left], peers[right] = peers[right], peers[left] })
+	full := control.aging(now) && (len(peers) <= fullPollMembers || rand.IntN(len(peers)) < fullPollers)
+	if !full {
+		peers = control.withOwners(peers, polledPeers)
+	}
+	for _, known := range peers {
+		control.ask(known)
+	}
+}
+
+func (control *control) peers() []conf.Member {
+	var peers []conf.Member
+	for _, known := range control.state.Roster().Everybody() {
+		if known.Name != control.node.Name() {
+			peers = append(peers, known)
+		}
+	}
+	return peers
+}
+
+// withOwners returns the first peers and the owners of pools, whose failure has to be noticed soon.
+func (control *control) withOwners(peers []conf.Member, count int) []conf.Member {
+	owners := value.NewSet[string]()
+	for _, owner := range control.state.List(conf.KindOwner) {
+		owners.Add(owner.Owner.Host)
+	}
+	var chosen []conf.Member
+	for index, known := range peers {
+		if index < count || owners.Has(known.Name) {
+			chosen = append(chosen, known)
+		}
+	}
+	return chosen
+}
+
+func (control *control) selfStatus() statusParams {
+	return statusParams{Host: control.node.Name(), Incarnation: control.incarnation, Revision: control.state.Revision()}
+}
+
+func (control *control) ask(known conf.Member) {
+	params := control.selfStatus()
+	control.call(known, methodStatus, params)
+}
+
+// call sends a status question or a notification and hears the answer.
+func (control *control) call(known conf.Member, method string, params any) {
+	control.background(func() {}, func(ctx context.Context) func(time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var reply fresh.Answer
+		sentAt := time.Now()
+		if err := control.node.pool.Call(ctx, known.PeerAddress, method, params, &reply); err != nil {
+			return nil
+		}
+		return func(now time.Time) { control.hear(now, known, reply, sentAt) }
+	})
+}
+
+func (control *control) hear(now time.Time, known conf.Member, reply fresh.Answer, sentAt time.Time) {
+	if reply.Host != known.Name {
+		return
+	}
+	control.heardAt[reply.Host] = now
+	if control.tracker.Hear(reply, sentAt) {
+		control.fetchFromPeer(now, reply.Host)
+	}
+	control.publishProof(now)
+}
+
+// fetchFromPeer reads missing changes from a peer, since the table may be away, and otherwise from the table.
+func (control *control) fetchFromPeer(now time.Time, host string) {
+	known, found := control.memberNamed(host)
+	if !found {
+		control.fetch(now)
+		return
+	}
+	after := control.state.Revision()
+	control.background(func() {}, func(ctx context.Context) func(time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var result changesResult
+		err := control.node.pool.Call(ctx, known.PeerAddress, methodChanges, changesParams{After: after}, &result)
+		return func(now time.Time) {
+			gap := err != nil || len(result.Changes) == 0 || result.Changes[0].Revision > control.state.Revision()+1
+			if gap {
+				control.fetch(now)
+				return
+			}
+			control.adopt(now, result.Changes)
+		}
+	})
+}
+
+func (control *control) memberNamed(name string) (conf.Member, bool) {
+	for _, known := range control.state.Roster().Everybody() {
+		if known.Name == name {
+			return known, true
+		}
+	}
+	return conf.Member{}, false
+}
+
+func (control *control) startPush(now time.Time) {
+	control.pushUntil = now.Add(pushFor)
+	control.push(now, func() {})
+}
+
+// push tells the peers that lack this host's own commits.
+func (control *control) push(now time.Time, done func()) {
+	defer done()
+	if now.After(control.pushUntil) {
+		return
+	}
+	revision := control.state.Revision()
+	acknowledged := control.tracker.Acknowledged(revision)
+	var changes []conf.Change
+	if count := len(control.tail); count > 0 {
+		changes = control.tail[max(0, count-2):]
+	}
+	for _, known := range control.peers() {
+		if !acknowledged.Has(known.Name) {
+			control.call(known, methodNotify, notifyParams{From: control.selfStatus(), Changes: changes})
+		}
+	}
+}
+
+// directoryEvery spreads the scans so that the fleet reads a constant number of rows for each host.
+func (control *control) directoryEvery() time.Duration {
+	members := len(control.state.Roster().Members)
+	return max(minDirectoryScan, time.Duration(members)*directoryPerHost)
+}
+
+func (control *control) scanDirectory(_ time.Time, done func()) {
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		result, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Prefixes: []string{prefixHost}})
+		if err != nil {
+			return nil
+		}
+		hosts, listErr := control.node.hostList.Hosts(ctx)
+		return func(now time.Time) {
+			control.observe(now, result.Rows)
+			if listErr == nil {
+				control.list(hosts)
+			}
+		}
+	})
+}
+
+func (control *control) observe(now time.Time, rows []lentilproxy.Row) {
+	var heartbeats []member.Heartbeat
+	for _, row := range rows {
+		var heartbeat member.Heartbeat
+		if json.Unmarshal(row.Value, &heartbeat) == nil {
+			heartbeats = append(heartbeats, heartbeat)
+			control.tracker.Acknowledge(heartbeat.Member.Name, heartbeat.Revision)
+		}
+	}
+	control.directory.Observe(now, heartbeats)
+}
+
+func (control *control) list(hosts []lentilproxy.HostStatus) {
+	var names []string
+	for _, host := range hosts {
+		names = append(names, host.Name)
+	}
+	control.directory.List(names)
+}
+
+// reviewRoster settles a roster that everybody knows, or proposes the next one.
+func (control *control) reviewRoster(now time.Time, done func()) {
+	roster := control.state.Roster()
+	var next *conf.Roster
+	switch {
+	case control.node.leaving() || !control.tracker.Fresh(now):
+	case len(roster.Members) == 0:
+		next = &conf.Roster{Members: []conf.Member{control.self()}, Settled: true}
+	case !roster.Settled:
+		if control.inForceFor(now, control.rosterRevision()) >= fresh.Takeover {
+			next = member.Settle(roster)
+		}
+	default:
+		if planned, changed := control.directory.Plan(now, roster); changed {
+			next = planned
+		}
+	}
+	if next == nil {
+		done()
+		return
+	}
+	control.proposeRoster(roster, next, done)
+}
+
+func (control *control) rosterRevision() int64 {
+	if resource := control.state.Get(conf.Ref{Kind: conf.KindRoster, Name: conf.RosterName}); resource != nil {
+		return resource.Revision
+	}
+	return 0
+}
+
+// inForceFor returns how long a quorum has been known to hold a revision.
+func (control *control) inForceFor(now time.Time, revision int64) time.Duration {
+	counted := control.directory.Counted(now, control.state.Roster(), control.tracker.Acknowledged(revision))
+	if !control.state.Roster().Quorum(counted) {
+		return 0
+	}
+	since, found := control.quorumAt[revision]
+	if !found {
+		control.quorumAt[revision] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+func (control *control) proposeRoster(old, next *conf.Roster, done func()) {
+	delay := time.Duration(control.rank()) * rosterStagger
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil
+		}
+		control.node.Commit(ctx, newToken(), func(state *conf.State) (conf.Change, []conf.Problem, bool) {
+			// Somebody else was faster if the roster is no longer the one that the proposal is for.
+			same := string(mustEncode(state.Roster())) == string(mustEncode(old))
+			resource := conf.Resource{Kind: conf.KindRoster, Name: conf.RosterName, Roster: next}
+			return conf.Change{Puts: []conf.Resource{resource}}, nil, same
+		})
+		return nil
+	})
+}
+
+// rank is the number of members of the roster before this host.
+func (control *control) rank() int {
+	for index, known := range control.state.Roster().Members {
+		if known.Name == control.node.Name() {
+			return index
+		}
+	}
+	return len(control.state.Roster().Members)
+}
+
+// Acceptance says how far a revision has come.
+type Acceptance struct {
+	Accepted bool `json:"accepted"`
+	InForce  bool `json:"in_force"`
+	// Missing are the hosts that may still act on an older revision.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Acceptance returns how far a revision has come, as far as this host knows.
+func (node *Node) Acceptance(ctx context.Context, revision int64) (Acceptance, error) {
+	var acceptance Acceptance
+	control := node.traffic.control
+	if control == nil || !node.do(ctx, func(now time.Time) { acceptance = control.acceptance(now, revision) }) {
+		return acceptance, oops.Code("node_stopping").Errorf("the node is not running")
+	}
+	return acceptance, nil
+}
+
+func (control *control) acceptance(now time.Time, revision int64) Acceptance {
+	roster := control.state.Roster()
+	counted := control.directory.Counted(now, roster, control.tracker.Acknowledged(revision))
+	acceptance := Acceptance{Accepted: roster.Quorum(counted)}
+	for _, known := range roster.Everybody() {
+		if !counted.Has(known.Name) {
+			acceptance.Missing = append(acceptance.Missing, known.Name)
+		}
+	}
+	acceptance.InForce = acceptance.Accepted && len(acceptance.Missing) == 0
+	return acceptance
+}
