Limits: one loan for each pair of hosts, given back as soon as the demand moves

Change: only own shares are lent; a grant adds to the pair's loan; loans that are not needed, and parts under pressure, go back with their tokens.

--- a/core/limit/account.go
+++ b/core/limit/account.go
@@ -13,11 +13,10 @@
 
 // loan is a share that is lent or borrowed until an instant.
 type loan struct {
-	id     int64
-	peer   string
-	share  share
-	until  time.Time
-	asking bool
+	id    int64
+	peer  string
+	share share
+	until time.Time
 }
 
 // Receipt stands for tokens charged to a request that may be partly given back.
@@ -41,25 +40,34 @@
 	borrowed []loan
 	open     map[*Receipt]struct{}
 	demand   demand
-	waiting  float64
+	// waiting is the size of the largest request that found too few tokens since the last asks.
+	waiting float64
+	// pressure is the greatest demand of another host that asked while this one held borrowed shares.
+	pressure float64
 }
 
 func newAccount(now time.Time) *account {
 	return &account{settled: now, open: map[*Receipt]struct{}{}, demand: demand{updated: now}}
 }
 
-// effective returns the shares that the host may use at the instant up to which the account is settled.
-func (account *account) effective() share {
-	sum := account.base
+// unlent returns the part of the own share that is not lent.
+func (account *account) unlent() share {
+	own := account.base
 	for _, out := range account.lent {
-		sum.rate -= out.share.rate
-		sum.burst -= out.share.burst
+		own.rate -= out.share.rate
+		own.burst -= out.share.burst
 	}
+	return share{rate: max(0, own.rate), burst: max(0, own.burst)}
+}
+
+// effective returns the shares that the host may use at the instant up to which the account is settled.
+func (account *account) effective() share {
+	sum := account.unlent()
 	for _, in := range account.borrowed {
 		sum.rate += in.share.rate
 		sum.burst += in.share.burst
 	}
-	return share{rate: max(0, sum.rate), burst: max(0, sum.burst)}
+	return sum
 }
 
 // settle accrues tokens up to an instant, ending loans on the way.
@@ -140,7 +148,7 @@
 }
 
 // demandHorizon is the time over which demand is averaged.
-const demandHorizon = time.Second
+const demandHorizon = 300 * time.Millisecond
 
 // demand averages the tokens asked for per second.
 type demand struct {
--- a/core/limit/bank.go
+++ b/core/limit/bank.go
@@ -1,17 +1,21 @@
 package limit
 
 import (
+	"slices"
 	"time"
 )
 
 const (
-	// demandReserve is how much more than its recent demand a lender keeps.
+	// demandReserve is how much more than its recent demand a host keeps.
 	demandReserve = 1.2
 	// extendBefore is how long before its end a borrower asks to extend a loan.
 	extendBefore = LoanDuration / 2
-	// minLoanRate and minLoanBurst are the smallest parts worth a message, in tokens per second and tokens.
-	minLoanRate  = 0.01
-	minLoanBurst = 0.01
+	// returnBefore is how long before its end an unextended loan is given back.
+	returnBefore = 300 * time.Millisecond
+	// reserveTime is the time of its recent demand for which a lender keeps tokens.
+	reserveTime = 200 * time.Millisecond
+	// minLoanPart is the smallest part of a limit that is worth a loan by itself.
+	minLoanPart = 0.002
 )
 
 // Outcome is the result of a charge.
@@ -36,27 +40,40 @@
 	Fraction float64
 }
 
-// Ask is a borrower's request to one lender.
+// Ask is a borrower's request to one lender. It also extends the loan that the lender has given already.
 type Ask struct {
-	Workspace string  `json:"workspace"`
-	Rate      float64 `json:"rate"`
-	Burst     float64 `json:"burst"`
-	// Extend is the identifier of a running loan to extend, or 0 for a new one.
-	Extend int64 `json:"extend,omitempty"`
+	Workspace string `json:"workspace"`
+	// Rate and Burst are wanted in addition.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Demand is the borrower's recent demand in tokens per second.
+	Demand float64 `json:"demand"`
+	// Need is the size of the largest request that waits, in tokens.
+	Need float64 `json:"need,omitempty"`
 	// Lender is the host to ask.
 	Lender string `json:"lender"`
 }
 
-// Grant is a lender's answer; a duration of 0 grants nothing.
+// Grant is a lender's answer. A duration of 0 grants nothing.
 type Grant struct {
-	Workspace string        `json:"workspace"`
-	ID        int64         `json:"id"`
-	Rate      float64       `json:"rate"`
-	Burst     float64       `json:"burst"`
-	Level     float64       `json:"level"`
-	Duration  time.Duration `json:"duration"`
-	Extended  bool          `json:"extended,omitempty"`
-	Lender    string        `json:"lender"`
+	Workspace string `json:"workspace"`
+	// ID identifies the loan; a later grant with the same ID adds to it and extends it.
+	ID       int64         `json:"id"`
+	Rate     float64       `json:"rate"`
+	Burst    float64       `json:"burst"`
+	Level    float64       `json:"level"`
+	Duration time.Duration `json:"duration"`
+	Lender   string        `json:"lender"`
+}
+
+// Return gives a loan, or a part of it, back to its lender before its end, with tokens that were not used.
+type Return struct {
+	Workspace string  `json:"workspace"`
+	ID        int64   `json:"id"`
+	Rate      float64 `json:"rate"`
+	Burst     float64 `json:"burst"`
+	Level     float64 `json:"level"`
+	Lender    string  `json:"lender"`
 }
 
 // Bank holds one host's shares of all workspaces. It is not safe for concurrent use.
@@ -182,171 +199,211 @@
 	return bank.account(now, workspace).level
 }
 
-// Asks returns the requests to send to lenders now: extensions of running loans, and new loans for workspaces
-// whose demand exceeds what the host holds.
+// Asks returns the requests to send to lenders now, one for each lender at most.
 func (bank *Bank) Asks(now time.Time, lenders func(workspace string) []string) []Ask {
 	var asks []Ask
 	for workspace, account := range bank.accounts {
 		account.settle(now)
 		account.demand.decay(now)
-		asks = append(asks, bank.extensions(now, workspace, account)...)
-		asks = append(asks, bank.newLoans(workspace, account, lenders(workspace))...)
-		account.waiting = 0
-	}
-	return asks
-}
-
-func (bank *Bank) extensions(now time.Time, workspace string, account *account) []Ask {
-	var asks []Ask
-	held := account.effective().rate
-	for index := range account.borrowed {
-		entry := &account.borrowed[index]
-		if entry.asking || entry.until.Sub(now) > extendBefore {
-			continue
+		rate, burst := account.wants(bank.limits[workspace])
+		for _, lender := range lenders(workspace) {
+			if lender == bank.host || (rate == 0 && burst == 0 && !account.extends(now, lender)) {
+				continue
+			}
+			asks = append(asks, Ask{
+				Workspace: workspace, Rate: rate, Burst: burst, Demand: account.demand.rate, Need: account.waiting, Lender: lender,
+			})
 		}
-		// A loan that the recent demand does not need is left to end.
-		if held-entry.share.rate >= account.demand.rate*demandReserve && account.waiting == 0 {
-			held -= entry.share.rate
-			continue
-		}
-		entry.asking = true
-		asks = append(asks, Ask{Workspace: workspace, Extend: entry.id, Lender: entry.peer})
+		account.waiting = 0
 	}
 	return asks
 }
 
-func (bank *Bank) newLoans(workspace string, account *account, lenders []string) []Ask {
-	limit := bank.limits[workspace]
+// wants returns what the account lacks for its recent demand, or for a request that waits.
+func (account *account) wants(limit Entitlement) (rate, burst float64) {
 	held := account.effective()
-	rate := min(account.demand.rate*demandReserve, limit.Rate) - held.rate
-	burst := limit.Burst - held.burst
-	short := account.waiting > account.level
-	if !short && rate <= minLoanRate {
-		return nil
+	rate = min(account.demand.rate*demandReserve, limit.Rate) - held.rate
+	if account.waiting > account.level {
+		return max(0, limit.Rate-held.rate), max(0, limit.Burst-held.burst)
 	}
-	if short {
-		rate = limit.Rate - held.rate
+	if rate <= limit.Rate*minLoanPart {
+		return 0, 0
 	}
-	var asks []Ask
-	for _, lender := range lenders {
-		if lender != bank.host {
-			asks = append(asks, Ask{Workspace: workspace, Rate: max(0, rate), Burst: max(0, burst), Lender: lender})
+	return rate, max(0, limit.Burst-held.burst)
+}
+
+// extends says whether a loan of a lender is needed longer.
+func (account *account) extends(now time.Time, lender string) bool {
+	for _, entry := range account.borrowed {
+		if entry.peer == lender && entry.until.Sub(now) <= extendBefore && account.needs(entry) {
+			return true
 		}
 	}
-	return asks
+	return false
 }
 
-// Lend answers an ask. What is granted is taken from the host's shares before Lend returns.
+// needs says whether the account would lack a borrowed loan.
+func (account *account) needs(entry loan) bool {
+	return account.demand.rate*demandReserve > account.effective().rate-entry.share.rate
+}
+
+// Lend answers an ask. What is granted is taken from the host's shares before Lend returns. Only the host's own
+// share is lent; what it has borrowed goes back to its lender, which Returns does after a Lend.
 func (bank *Bank) Lend(now time.Time, borrower string, ask Ask) Grant {
-	nothing := Grant{Workspace: ask.Workspace, Lender: bank.host, ID: ask.Extend, Extended: ask.Extend != 0}
-	if _, limited := bank.limits[ask.Workspace]; !limited {
+	nothing := Grant{Workspace: ask.Workspace, Lender: bank.host}
+	limit, limited := bank.limits[ask.Workspace]
+	if !limited {
 		return nothing
 	}
 	account := bank.account(now, ask.Workspace)
 	account.demand.decay(now)
-	if ask.Extend != 0 {
-		return bank.extend(now, account, borrower, ask, nothing)
-	}
-	return bank.lendNew(now, account, borrower, ask, nothing)
-}
-
-func (bank *Bank) extend(now time.Time, account *account, borrower string, ask Ask, nothing Grant) Grant {
-	needed := account.demand.rate * demandReserve
-	if needed > account.effective().rate {
-		return nothing
+	if len(account.borrowed) > 0 {
+		account.pressure = max(account.pressure, ask.Demand)
 	}
-	duration := account.lendable(now)
-	for index := range account.lent {
-		entry := &account.lent[index]
-		if entry.id != ask.Extend || entry.peer != borrower {
-			continue
-		}
-		if duration <= 0 {
-			return nothing
-		}
-		entry.until = later(entry.until, now.Add(duration+LoanMargin))
-		grant := nothing
-		grant.Duration = duration
-		return grant
-	}
-	return nothing
-}
-
-func (bank *Bank) lendNew(now time.Time, account *account, borrower string, ask Ask, nothing Grant) Grant {
-	held := account.effective()
-	duration := account.lendable(now)
-	if duration <= 0 || held.burst <= 0 {
+	added, level := account.spare(ask)
+	entry := account.lentTo(borrower)
+	worthwhile := added.rate > limit.Rate*minLoanPart || added.burst > limit.Burst*minLoanPart
+	if entry == nil && !worthwhile {
 		return nothing
 	}
-	spare := max(0, held.rate-account.demand.rate*demandReserve)
-	part := 1.0
-	if held.rate > 0 {
-		part = spare / held.rate
-	}
-	rate := min(max(0, ask.Rate), spare)
-	burst := min(max(0, ask.Burst), held.burst*part)
-	if rate < minLoanRate && burst < minLoanBurst {
+	if entry == nil {
+		bank.nextID++
+		account.lent = append(account.lent, loan{id: bank.nextID, peer: borrower})
+		entry = &account.lent[len(account.lent)-1]
+	} else if account.lacks() {
+		// A lender that needs its share for itself lets the loan end.
 		return nothing
 	}
-	level := min(account.level, burst)
-	bank.nextID++
+	entry.share.rate += added.rate
+	entry.share.burst += added.burst
+	entry.until = now.Add(LoanDuration + LoanMargin)
 	account.level -= level
-	account.lent = append(account.lent, loan{
-		id: bank.nextID, peer: borrower, share: share{rate: rate, burst: burst}, until: now.Add(duration + LoanMargin),
-	})
 	account.clip()
-	grant := nothing
-	grant.ID, grant.Rate, grant.Burst, grant.Level, grant.Duration = bank.nextID, rate, burst, level, duration
-	return grant
+	return Grant{
+		Workspace: ask.Workspace, Lender: bank.host, ID: entry.id,
+		Rate: added.rate, Burst: added.burst, Level: level, Duration: LoanDuration,
+	}
 }
 
-// lendable returns how long the account can lend for: no longer than the loans that it would pass on.
-func (account *account) lendable(now time.Time) time.Duration {
-	duration := LoanDuration
-	for _, entry := range account.borrowed {
-		duration = min(duration, entry.until.Sub(now)-LoanMargin)
-	}
-	return duration
+// spare returns the part of the own share, and the tokens, that can be lent.
+func (account *account) spare(ask Ask) (added share, level float64) {
+	own := account.unlent()
+	needed := account.demand.rate * demandReserve
+	added.rate = min(max(0, ask.Rate), max(0, own.rate-needed))
+	kept := needed * reserveTime.Seconds()
+	added.burst = min(max(0, ask.Burst), max(0, own.burst-kept))
+	level = min(max(0, account.level-kept), added.burst)
+	return added, level
 }
 
-func later(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
+// lacks says whether the host has lent what it needs itself.
+func (account *account) lacks() bool {
+	held := account.effective()
+	return held.rate < min(account.base.rate, account.demand.rate*demandReserve)
+}
+
+func (account *account) lentTo(borrower string) *loan {
+	for index := range account.lent {
+		if account.lent[index].peer == borrower {
+			return &account.lent[index]
+		}
 	}
-	return right
+	return nil
 }
 
 // Credit records a grant. Its duration counts from the instant at which the ask was sent.
 func (bank *Bank) Credit(now, sentAt time.Time, grant Grant) {
-	account := bank.account(now, grant.Workspace)
 	until := sentAt.Add(grant.Duration)
-	if grant.Extended {
-		account.extendBorrowed(grant, until)
-		return
-	}
 	if grant.Duration <= 0 || !until.After(now) {
 		return
 	}
-	account.borrowed = append(account.borrowed, loan{
-		id: grant.ID, peer: grant.Lender, share: share{rate: grant.Rate, burst: grant.Burst}, until: until,
-	})
+	account := bank.account(now, grant.Workspace)
+	entry := account.borrowedAs(grant)
+	if entry == nil {
+		account.borrowed = append(account.borrowed, loan{id: grant.ID, peer: grant.Lender})
+		entry = &account.borrowed[len(account.borrowed)-1]
+	}
+	entry.share.rate += grant.Rate
+	entry.share.burst += grant.Burst
+	if until.After(entry.until) {
+		entry.until = until
+	}
 	account.level += grant.Level
 	account.clip()
 }
 
-// Unanswered records that an ask got no answer, so that an extension can be asked for again.
-func (bank *Bank) Unanswered(ask Ask) {
-	if account := bank.accounts[ask.Workspace]; account != nil && ask.Extend != 0 {
-		account.extendBorrowed(Grant{ID: ask.Extend, Lender: ask.Lender}, time.Time{})
+func (account *account) borrowedAs(grant Grant) *loan {
+	for index := range account.borrowed {
+		if account.borrowed[index].id == grant.ID && account.borrowed[index].peer == grant.Lender {
+			return &account.borrowed[index]
+		}
 	}
+	return nil
 }
 
-func (account *account) extendBorrowed(grant Grant, until time.Time) {
-	for index := range account.borrowed {
-		entry := &account.borrowed[index]
-		if entry.id == grant.ID && entry.peer == grant.Lender {
-			entry.asking = false
-			entry.until = later(entry.until, until)
+// Returns gives back loans that the recent demand does not need or that are about to end, and parts of the others if
+// another host has asked for more. What is given back is taken from the host's shares before Returns returns.
+func (bank *Bank) Returns(now time.Time) []Return {
+	var returns []Return
+	for workspace, account := range bank.accounts {
+		account.settle(now)
+		account.demand.decay(now)
+		for index := len(account.borrowed) - 1; index >= 0; index-- {
+			part := account.surplus(now, account.borrowed[index])
+			if part > 0 {
+				returns = append(returns, account.giveBack(workspace, index, part))
+			}
 		}
+		account.pressure = 0
+	}
+	return returns
+}
+
+// surplus returns the part of a borrowed loan to give back. Under pressure, the hosts share what is borrowed in
+// proportion to their recent demand.
+func (account *account) surplus(now time.Time, entry loan) float64 {
+	switch {
+	case entry.until.Sub(now) <= returnBefore, !account.needs(entry):
+		return 1
+	case account.pressure > 0:
+		return account.pressure / (account.pressure + account.demand.rate)
+	default:
+		return 0
+	}
+}
+
+// giveBack takes a part of a loan out of the account, and the tokens that go with it: their part of the whole, and at
+// least what exceeds the burst that remains.
+func (account *account) giveBack(workspace string, index int, part float64) Return {
+	entry := &account.borrowed[index]
+	back := Return{
+		Workspace: workspace, ID: entry.id, Lender: entry.peer, Rate: entry.share.rate * part, Burst: entry.share.burst * part,
+	}
+	whole := account.effective().burst
+	entry.share.rate -= back.Rate
+	entry.share.burst -= back.Burst
+	if part == 1 {
+		account.borrowed = slices.Delete(account.borrowed, index, index+1)
+	}
+	back.Level = max(0, account.level-account.effective().burst)
+	if whole > 0 {
+		back.Level = max(back.Level, account.level*back.Burst/whole)
 	}
+	back.Level = min(back.Level, back.Burst, account.level)
+	account.level -= back.Level
+	account.clip()
+	return back
+}
+
+// TakeBack takes what a borrower has given back. A loan that has ended meanwhile is not concerned.
+func (bank *Bank) TakeBack(now time.Time, borrower string, back Return) {
+	account := bank.account(now, back.Workspace)
+	entry := account.lentTo(borrower)
+	if entry == nil || entry.id != back.ID || back.Rate < 0 || back.Burst < 0 || back.Level < 0 {
+		return
+	}
+	entry.share.rate = max(0, entry.share.rate-back.Rate)
+	entry.share.burst = max(0, entry.share.burst-back.Burst)
+	account.level += min(back.Level, back.Burst)
+	account.clip()
 }
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"lentilproxy/core/decl"
@@ -177,7 +178,8 @@
 		{"callers", listen.Callers}, {"operators", listen.Operators}, {"peers", listen.Peers},
 	} {
 		reader.address(section, entry.key, entry.content)
-		if first, twice := used[entry.content]; twice && entry.content != "" {
+		// Port 0 lets the system choose, so it may stand more than once.
+		if first, twice := used[entry.content]; twice && entry.content != "" && !strings.HasSuffix(entry.content, ":0") {
 			reader.report(section, entry.key, fmt.Sprintf("%s is the same address as %s", entry.key, first))
 		}
 		used[entry.content] = entry.key
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -207,7 +207,7 @@
 
 // leaksKey says whether the presented key stands in a part of the request that is passed on.
 func (call *call) leaksKey() bool {
-	if len(call.presented) < len(keys.Prefix) {
+	if !strings.HasPrefix(call.presented, keys.Prefix) {
 		return false
 	}
 	secret := []byte(call.presented)
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -16,16 +16,17 @@
 
 // Methods of the protocol between daemons.
 const (
-	methodStatus  = "view.status"
-	methodNotify  = "view.notify"
-	methodChanges = "view.changes"
-	methodBorrow  = "limit.borrow"
-	methodAcquire = "place.acquire"
-	methodReport  = "place.report"
-	methodReturn  = "place.return"
-	methodRevoke  = "place.revoke"
-	methodCensus  = "place.census"
-	methodDeath   = "guard.death"
+	methodStatus   = "view.status"
+	methodNotify   = "view.notify"
+	methodChanges  = "view.changes"
+	methodBorrow   = "limit.borrow"
+	methodGiveBack = "limit.give_back"
+	methodAcquire  = "place.acquire"
+	methodReport   = "place.report"
+	methodReturn   = "place.return"
+	methodRevoke   = "place.revoke"
+	methodCensus   = "place.census"
+	methodDeath    = "guard.death"
 )
 
 // callTimeout bounds a call to a peer that answers at once.
@@ -59,6 +60,11 @@
 	Grants []limit.Grant `json:"grants"`
 }
 
+type giveBackParams struct {
+	Host    string         `json:"host"`
+	Returns []limit.Return `json:"returns"`
+}
+
 type acquireParams struct {
 	Host    string        `json:"host"`
 	Pool    string        `json:"pool"`
@@ -129,6 +135,8 @@
 		return control.handleAcquire(ctx, params)
 	case methodBorrow:
 		return direct(params, control.node.traffic.onBorrow)
+	case methodGiveBack:
+		return direct(params, control.node.traffic.onGiveBack)
 	case methodRevoke:
 		return direct(params, control.node.traffic.onRevoke)
 	case methodDeath:
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -70,7 +70,10 @@
 	orders    map[string]int
 	fetching  bool
 	proposing bool
-	startedAt time.Time
+	// exchangedAt is when loans were last exchanged; exchangeDue says that a further exchange is on its way.
+	exchangedAt time.Time
+	exchangeDue bool
+	startedAt   time.Time
 	// sweepAfter is the row after which the next sweep goes on.
 	sweepAfter string
 }
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -18,6 +18,8 @@
 const (
 	// borrowWait bounds how long a request waits for tokens of other hosts.
 	borrowWait = 200 * time.Millisecond
+	// minExchangeInterval bounds how often requests that wait cause an exchange of loans.
+	minExchangeInterval = 25 * time.Millisecond
 	// acquireRetry is the wait before the owner of a pool is asked again.
 	acquireRetry = 50 * time.Millisecond
 	tokenBytes   = 16
@@ -108,7 +110,7 @@
 		}
 		if first {
 			first = false
-			node.post(func(now time.Time) { traffic.control.exchangeLoans(now, func() {}) })
+			node.post(func(now time.Time) { traffic.control.exchangeSoon(now) })
 		}
 		select {
 		case <-credited:
@@ -137,12 +139,30 @@
 	node.traffic.bank.Refund(time.Now(), receipt, unused)
 }
 
-// exchangeLoans asks other hosts for shares that the recent demand needs.
+// exchangeSoon exchanges loans for a request that waits, but not at every request.
+func (control *control) exchangeSoon(now time.Time) {
+	if now.Sub(control.exchangedAt) >= minExchangeInterval {
+		control.exchangeLoans(now, func() {})
+		return
+	}
+	if control.exchangeDue {
+		return
+	}
+	control.exchangeDue = true
+	time.AfterFunc(minExchangeInterval, func() {
+		control.node.post(func(now time.Time) { control.exchangeLoans(now, func() {}) })
+	})
+}
+
+// exchangeLoans gives back shares that the recent demand does not need, and asks other hosts for those it lacks.
 func (control *control) exchangeLoans(now time.Time, done func()) {
 	defer done()
+	control.exchangeDue = false
 	if !control.tracker.Fresh(now) {
 		return
 	}
+	control.exchangedAt = now
+	control.giveBackLoans(now)
 	traffic := control.node.traffic
 	members := control.state.Roster().Members
 	traffic.mutex.Lock()
@@ -163,11 +183,46 @@
 	}
 }
 
+func (control *control) giveBackLoans(now time.Time) {
+	traffic := control.node.traffic
+	traffic.mutex.Lock()
+	returns := traffic.bank.Returns(now)
+	traffic.mutex.Unlock()
+	byLender := map[string][]limit.Return{}
+	for _, back := range returns {
+		byLender[back.Lender] = append(byLender[back.Lender], back)
+	}
+	for lender, batch := range byLender {
+		if known, found := control.memberNamed(lender); found {
+			control.giveBack(known, giveBackParams{Host: control.node.Name(), Returns: batch})
+		}
+	}
+}
+
+func (control *control) giveBack(known conf.Member, params giveBackParams) {
+	control.background(func() {}, func(ctx context.Context) func(time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var taken bool
+		// A lost message loses tokens for a while, and makes none.
+		_ = control.node.pool.Call(ctx, known.PeerAddress, methodGiveBack, params, &taken)
+		return nil
+	})
+}
+
+func (traffic *traffic) onGiveBack(now time.Time, params giveBackParams) bool {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	for _, back := range params.Returns {
+		traffic.bank.TakeBack(now, params.Host, back)
+	}
+	return true
+}
+
 func (control *control) borrow(lender string, asks []limit.Ask) {
 	traffic := control.node.traffic
 	known, found := control.memberNamed(lender)
 	if !found {
-		traffic.unanswered(asks)
 		return
 	}
 	params := borrowParams{Host: control.node.Name(), Asks: asks}
@@ -177,7 +232,6 @@
 		sentAt := time.Now()
 		var result borrowResult
 		if err := control.node.pool.Call(ctx, known.PeerAddress, methodBorrow, params, &result); err != nil {
-			traffic.unanswered(asks)
 			return nil
 		}
 		traffic.credit(time.Now(), sentAt, result.Grants)
@@ -185,14 +239,6 @@
 	})
 }
 
-func (traffic *traffic) unanswered(asks []limit.Ask) {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	for _, ask := range asks {
-		traffic.bank.Unanswered(ask)
-	}
-}
-
 func (traffic *traffic) credit(now, sentAt time.Time, grants []limit.Grant) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
@@ -208,6 +254,7 @@
 	if !traffic.node.Fresh(now) {
 		return borrowResult{}
 	}
+	defer traffic.node.post(func(now time.Time) { traffic.control.giveBackLoans(now) })
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	var result borrowResult
--- /dev/null
+++ b/io/proc/proc.go
@@ -0,0 +1,2 @@
+// Package proc holds tests that run the programs as processes.
+package proc
