--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -85,7 +85,7 @@
 	if found && answer.Incarnation < last.answer.Incarnation {
 		return false
 	}
-	if !found || sentAt.After(last.sentAt) || answer.Incarnation > last.answer.Incarnation {
+	if !found || !sentAt.Before(last.sentAt) || answer.Incarnation > last.answer.Incarnation {
 		tracker.answers[answer.Host] = heard{answer: answer, sentAt: sentAt}
 	}
 	tracker.Acknowledge(answer.Host, answer.Revision)
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -108,10 +108,8 @@
 		if outcome != limit.Short {
 			return receipt, outcome
 		}
-		if first {
-			first = false
-			node.post(func(now time.Time) { traffic.control.exchangeSoon(now) })
-		}
+		first = false
+		node.post(func(now time.Time) { traffic.control.exchangeSoon(now) })
 		select {
 		case <-credited:
 		case <-deadline.C:
