--- a/io/ledger/batch.go
+++ b/io/ledger/batch.go
@@ -38,13 +38,19 @@
 	batcher := &batcher{table: table, queue: make(chan pending, 4*maxBatch), done: make(chan struct{}), ctx: ctx}
 	go func() {
 		defer close(batcher.done)
+		var postponed []pending
 		for {
-			select {
-			case first := <-batcher.queue:
-				batcher.flush(batcher.gather(first))
-			case <-ctx.Done():
-				return
+			if len(postponed) == 0 {
+				select {
+				case first := <-batcher.queue:
+					postponed = append(postponed, first)
+				case <-ctx.Done():
+					return
+				}
 			}
+			var batch []pending
+			batch, postponed = batcher.gather(postponed)
+			batcher.flush(batch)
 		}
 	}()
 	return batcher
@@ -70,24 +76,30 @@
 	}
 }
 
-func (batcher *batcher) gather(first pending) []pending {
-	batch := []pending{first}
+// gather returns the operations that can share a commit, in the order of their arrival, and those that must wait
+// because they write a row that an earlier one writes.
+func (batcher *batcher) gather(waiting []pending) (batch, postponed []pending) {
 	keys := map[string]bool{}
-	note(keys, first)
-	for len(batch) < maxBatch {
+	place := func(entry pending) {
+		if len(batch) >= maxBatch || clashes(keys, entry) {
+			postponed = append(postponed, entry)
+		} else {
+			batch = append(batch, entry)
+		}
+		note(keys, entry)
+	}
+	for _, entry := range waiting {
+		place(entry)
+	}
+	for len(batch) < maxBatch && len(postponed) < maxBatch {
 		select {
 		case next := <-batcher.queue:
-			if clashes(keys, next) {
-				batcher.flush(batch)
-				batch, keys = nil, map[string]bool{}
-			}
-			batch = append(batch, next)
-			note(keys, next)
+			place(next)
 		default:
-			return batch
+			return batch, postponed
 		}
 	}
-	return batch
+	return batch, postponed
 }
 
 func note(keys map[string]bool, entry pending) {
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -31,12 +31,14 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    chan struct{}
+	// pause waits, and says no if the context ended first.
+	pause func(ctx context.Context, wait time.Duration) bool
 }
 
 // New returns the ledger of a host.
 func New(table lentilproxy.Table, host string) *Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
-	ledger := &Ledger{table: table, host: host, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	ledger := &Ledger{table: table, host: host, ctx: ctx, cancel: cancel, done: make(chan struct{}), pause: pause}
 	ledger.batcher = newBatcher(ctx, table)
 	go func() {
 		defer close(ledger.done)
@@ -70,6 +72,8 @@
 	ledger *Ledger
 	key    string
 	record once.Record
+	// unsure claims were written more than once, and an earlier write may take effect late.
+	unsure bool
 }
 
 // Decision is what the ledger decided about a request.
@@ -92,7 +96,7 @@
 	}
 	unsure := false
 	for try := range claimTries {
-		if try > 0 && !pause(ctx, claimRetry<<(try-1)) {
+		if try > 0 && !ledger.pause(ctx, claimRetry<<(try-1)) {
 			break
 		}
 		row, committed, err := ledger.insert(ctx, key, insert)
@@ -101,7 +105,7 @@
 			continue
 		}
 		if committed {
-			return Decision{Verdict: once.Send, Claim: &Claim{ledger: ledger, key: key, record: record}}, nil
+			return Decision{Verdict: once.Send, Claim: &Claim{ledger: ledger, key: key, record: record, unsure: unsure}}, nil
 		}
 		held, err := once.Decode(row.Value)
 		if err != nil {
@@ -112,7 +116,7 @@
 			continue
 		}
 		if decision.Verdict == once.Send {
-			decision.Claim = &Claim{ledger: ledger, key: key, record: record}
+			decision.Claim = &Claim{ledger: ledger, key: key, record: record, unsure: unsure}
 		}
 		return decision, nil
 	}
@@ -153,7 +157,7 @@
 func (ledger *Ledger) abandon(key, token string) {
 	go func() {
 		for _, wait := range abandonAfter {
-			if !pause(ledger.ctx, wait) {
+			if !ledger.pause(ledger.ctx, wait) {
 				return
 			}
 			ledger.remove(key, token)
@@ -180,7 +184,7 @@
 
 // Release gives a claim back. It must only be called if no byte of the request can have left.
 func (claim *Claim) Release() {
-	if !claim.ledger.remove(claim.key, claim.record.Token) {
+	if !claim.ledger.remove(claim.key, claim.record.Token) || claim.unsure {
 		claim.ledger.abandon(claim.key, claim.record.Token)
 	}
 }
@@ -201,7 +205,7 @@
 			committed, err := claim.ledger.batcher.commit(claim.ledger.ctx, operation{
 				writes: []lentilproxy.Write{{Key: claim.key, Value: record.Encode()}},
 			})
-			if (err == nil && committed) || !pause(claim.ledger.ctx, wait) {
+			if (err == nil && committed) || !claim.ledger.pause(claim.ledger.ctx, wait) {
 				return
 			}
 			wait = min(2*wait, maxFinishRetry)
--- a/io/ledger/ledger_test.go
+++ b/io/ledger/ledger_test.go
@@ -127,7 +127,7 @@
 		table := newFaultyTable(script...)
 		hosts := []*Ledger{New(table, "a"), New(table, "b"), New(table, "c")}
 		for _, host := range hosts {
-			host.batcher.pause = func(context.Context, time.Duration) bool { return true }
+			host.pause = func(ctx context.Context, _ time.Duration) bool { return ctx.Err() == nil }
 			defer host.Close()
 		}
 		sent, released := 0, 0
--- /dev/null
+++ b/io/proc/capacity_test.go
@@ -0,0 +1,295 @@
+package proc
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"lentilproxy/core/conf"
+	"lentilproxy/io/admin"
+	"lentilproxy/io/fake"
+	"lentilproxy/io/node"
+)
+
+// These benchmarks measure the slopes of docs/CAPACITY.md. They run real daemons for a fixed time, so each is run once:
+//
+//	go test ./io/proc -run none -bench . -benchtime 1x -timeout 60m
+
+const (
+	ticksPerSecond = 100
+	measureTime    = 15 * time.Second
+)
+
+// usage is what a process has used.
+type usage struct {
+	cpu time.Duration
+	rss float64
+}
+
+func usageOf(b *testing.B, process *process) usage {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(stat)[strings.LastIndex(string(stat), ")")+2:])
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	pages, _ := strconv.Atoi(fields[21])
+	return usage{
+		cpu: time.Duration(user+system) * time.Second / ticksPerSecond,
+		rss: float64(pages*os.Getpagesize()) / (1 << 20),
+	}
+}
+
+// sums adds up over all daemons.
+type sums struct {
+	cpu          time.Duration
+	rss          float64
+	peerSent     int64
+	peerReceived int64
+	table        fake.TableStats
+	at           time.Time
+}
+
+func (fleet *fleet) sums(b *testing.B) sums {
+	b.Helper()
+	total := sums{at: time.Now()}
+	for _, host := range fleet.hosts {
+		used := usageOf(b, host.process)
+		total.cpu += used.cpu
+		total.rss += used.rss
+		var status node.Status
+		if !getJSON("http://"+host.operators+"/v1/status", &status) {
+			b.Fatal("a daemon does not answer")
+		}
+		total.peerSent += status.PeerSent
+		total.peerReceived += status.PeerReceived
+	}
+	if !getJSON("http://"+fleet.table+fake.PathStats, &total.table) {
+		b.Fatal("the table does not answer")
+	}
+	return total
+}
+
+// report prints what one daemon used in a second between two readings.
+func (fleet *fleet) report(b *testing.B, before, after sums) {
+	b.Helper()
+	seconds := after.at.Sub(before.at).Seconds()
+	hosts := float64(len(fleet.hosts))
+	b.ReportMetric(float64((after.cpu-before.cpu).Milliseconds())/seconds/hosts, "cpu_ms/s")
+	b.ReportMetric(after.rss/hosts, "rss_MB")
+	b.ReportMetric(float64(after.peerSent-before.peerSent)/seconds/hosts, "peer_sent_B/s")
+	b.ReportMetric(float64(after.table.Reads-before.table.Reads)/seconds/hosts, "table_reads/s")
+	b.ReportMetric(float64(after.table.Commits-before.table.Commits)/seconds/hosts, "table_commits/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+func (fleet *fleet) measure(b *testing.B, work func(stop <-chan struct{})) {
+	b.Helper()
+	stop, ended := make(chan struct{}), make(chan struct{})
+	before := fleet.sums(b)
+	go func() {
+		defer close(ended)
+		work(stop)
+	}()
+	time.Sleep(measureTime)
+	after := fleet.sums(b)
+	close(stop)
+	<-ended
+	fleet.report(b, before, after)
+}
+
+func idle(<-chan struct{}) {}
+
+func hostCounts() []int { return []int{5, 15, 45} }
+
+// BenchmarkIdle measures the control traffic by the number of daemons.
+func BenchmarkIdle(b *testing.B) {
+	for _, hosts := range hostCounts() {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: hosts, engines: 3})
+			time.Sleep(5 * time.Second)
+			fleet.measure(b, idle)
+		})
+	}
+}
+
+// BenchmarkTableAway measures the same while the table is away and majorities prove freshness.
+func BenchmarkTableAway(b *testing.B) {
+	for _, hosts := range hostCounts() {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: hosts, engines: 3})
+			if err := postJSON("http://"+fleet.table+fake.PathFault, fake.TableFault{Away: true}, nil); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(5 * time.Second)
+			fleet.measure(b, idle)
+			fresh := 0
+			for _, host := range fleet.hosts {
+				if host.ready() {
+					fresh++
+				}
+			}
+			b.ReportMetric(float64(fresh), "hosts_ready")
+		})
+	}
+}
+
+// BenchmarkChange measures changes of the configuration: one a second, through one host after the other.
+func BenchmarkChange(b *testing.B) {
+	for _, hosts := range hostCounts() {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: hosts, engines: 1})
+			time.Sleep(5 * time.Second)
+			var slowest time.Duration
+			changes := 0
+			fleet.measure(b, func(stop <-chan struct{}) {
+				for number := 0; ; number++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Second):
+					}
+					began := time.Now()
+					result := fleet.change(b, number)
+					if !result.InForce.Status {
+						b.Errorf("change %d is not in force on %v", number, result.InForce.Missing)
+					}
+					slowest = max(slowest, time.Since(began))
+					changes++
+				}
+			})
+			b.ReportMetric(float64(slowest.Milliseconds()), "slowest_in_force_ms")
+			b.ReportMetric(float64(changes), "changes")
+		})
+	}
+}
+
+func (fleet *fleet) change(b *testing.B, number int) admin.ApplyResult {
+	b.Helper()
+	var result admin.ApplyResult
+	request := admin.ApplyRequest{Resources: []conf.Resource{{
+		Kind: conf.KindWorkspace, Name: "shop", Workspace: &conf.Workspace{Weight: int64(1 + number)},
+	}}}
+	if err := postJSON("http://"+fleet.hosts[number%len(fleet.hosts)].operators+"/v1/apply", request, &result); err != nil {
+		b.Error(err)
+	}
+	return result
+}
+
+// BenchmarkAdapters measures memory, the start of a daemon and a change by the number of adapters.
+func BenchmarkAdapters(b *testing.B) {
+	for _, adapters := range []int{3000, 15000, 49000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: 3, engines: 1})
+			began := time.Now()
+			fleet.declareAdapters(b, adapters)
+			b.ReportMetric(time.Since(began).Seconds(), "declare_s")
+			began = time.Now()
+			fleet.hosts[2].signal(15)
+			<-fleet.hosts[2].ended
+			began = time.Now()
+			fleet.hosts[2].restart(b)
+			b.ReportMetric(time.Since(began).Seconds(), "restart_s")
+			time.Sleep(5 * time.Second)
+			fleet.measure(b, idle)
+			used := usageOf(b, fleet.hosts[1].process).cpu
+			for number := range 10 {
+				fleet.change(b, 3*number)
+			}
+			b.ReportMetric(float64((usageOf(b, fleet.hosts[1].process).cpu-used).Milliseconds())/10, "cpu_ms/change")
+		})
+	}
+}
+
+func (fleet *fleet) declareAdapters(b *testing.B, count int) {
+	b.Helper()
+	const batch = 400
+	for first := 0; first < count; first += batch {
+		var request admin.ApplyRequest
+		for number := first; number < min(first+batch, count); number++ {
+			name := fmt.Sprintf("shop/adapter-%05d", number)
+			request.Resources = append(request.Resources,
+				conf.Resource{Kind: conf.KindAdapter, Name: name, Adapter: &conf.Adapter{BaseModel: "base-1", DefaultVersion: "v1"}},
+				conf.Resource{Kind: conf.KindVersion, Name: name + "@v1", Version: &conf.Version{Source: "weights/" + name}})
+		}
+		var result admin.ApplyResult
+		if err := postJSON("http://"+fleet.hosts[0].operators+"/v1/apply", request, &result); err != nil {
+			b.Fatal(err)
+		}
+		if !result.Accepted.Status {
+			b.Fatalf("adapters from %d on were not accepted: %+v", first, result)
+		}
+	}
+}
+
+// BenchmarkTraffic measures completions of 200 tokens by their number a second on one daemon.
+func BenchmarkTraffic(b *testing.B) {
+	for _, callers := range []int{4, 16, 48} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{
+				hosts: 2, engines: 3, engineFlags: []string{"--step-time", "10ms", "--step-growth", "0"}, limit: "rate_tokens_per_second = 1e7\nburst_tokens = 1e8\n",
+			})
+			time.Sleep(5 * time.Second)
+			done := make(chan int, callers)
+			fleet.measure(b, func(stop <-chan struct{}) {
+				each(callers, func(number int) {
+					count := 0
+					for {
+						select {
+						case <-stop:
+							done <- count
+							return
+						default:
+						}
+						if send(fleet.hosts[0], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", number%6), 200)).whole() {
+							count++
+						}
+					}
+				})
+			})
+			requests := 0
+			for range callers {
+				requests += <-done
+			}
+			b.ReportMetric(float64(requests)/measureTime.Seconds(), "requests/s")
+			b.ReportMetric(float64(requests)*200/measureTime.Seconds(), "tokens/s")
+		})
+	}
+}
+
+// BenchmarkOrders measures the commits of orders by the number of callers at once.
+func BenchmarkOrders(b *testing.B) {
+	for _, callers := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: 1, engines: 1})
+			done := make(chan int, callers)
+			fleet.measure(b, func(stop <-chan struct{}) {
+				each(callers, func(number int) {
+					count := 0
+					for {
+						select {
+						case <-stop:
+							done <- count
+							return
+						default:
+						}
+						key := fmt.Sprintf("%d/%d", number, count)
+						if send(fleet.hosts[0], "/services/orders/new", fleet.key, "{}", "Idempotency-Key", key).status == 201 {
+							count++
+						}
+					}
+				})
+			})
+			orders := 0
+			for range callers {
+				orders += <-done
+			}
+			b.ReportMetric(float64(orders)/measureTime.Seconds(), "orders/s")
+		})
+	}
+}
--- a/io/proc/harness_test.go
+++ b/io/proc/harness_test.go
@@ -42,7 +42,7 @@
 
 // process is one running program.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	cmd    *exec.Cmd
 	mutex  sync.Mutex
 	output []string
@@ -50,7 +50,7 @@
 	code   int
 }
 
-func start(t *testing.T, program string, args ...string) *process {
+func start(t testing.TB, program string, args ...string) *process {
 	t.Helper()
 	process := &process{t: t, cmd: exec.Command(filepath.Join(binaries, program), args...), ended: make(chan struct{})}
 	stdout, err := process.cmd.StdoutPipe()
@@ -109,7 +109,7 @@
 	return append([]string(nil), process.output...)
 }
 
-func await(t *testing.T, limit time.Duration, what string, done func() bool) {
+func await(t testing.TB, limit time.Duration, what string, done func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !done() {
@@ -121,7 +121,7 @@
 }
 
 // standIn starts a stand-in and returns its address.
-func standIn(t *testing.T, args ...string) (*process, string) {
+func standIn(t testing.TB, args ...string) (*process, string) {
 	t.Helper()
 	process := start(t, "lentildev", args...)
 	line := process.line("listening on ")
@@ -140,7 +140,7 @@
 // everybody stands for all sources.
 const everybody = "*"
 
-func newCutter(t *testing.T, address, target string) *cutter {
+func newCutter(t testing.TB, address, target string) *cutter {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -224,7 +224,7 @@
 
 // fleet is a whole deployment in processes.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	table   string
 	weights string
 	engines []string
@@ -244,7 +244,7 @@
 const defaultLimit = "rate_tokens_per_second = 100000\nburst_tokens = 200000\n"
 
 // newFleet starts the stand-ins and the daemons, declares the resources of shop and stall, and makes a key.
-func newFleet(t *testing.T, options fleetOptions) *fleet {
+func newFleet(t testing.TB, options fleetOptions) *fleet {
 	t.Helper()
 	fleet := &fleet{t: t}
 	_, fleet.table = standIn(t, "table")
@@ -286,7 +286,7 @@
 }
 
 // freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T, ip string) string {
+func freeAddress(t testing.TB, ip string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -305,7 +305,7 @@
 }
 
 // restart runs the daemon again with the same settings.
-func (host *host) restart(t *testing.T) {
+func (host *host) restart(t testing.TB) {
 	t.Helper()
 	host.process = start(t, "lentild", "--config", host.settings)
 	var started struct {
@@ -390,7 +390,7 @@
 }
 
 // ctl runs the operators' command line against a daemon.
-func ctl(t *testing.T, operators string, args ...string) (output string, code int) {
+func ctl(t testing.TB, operators string, args ...string) (output string, code int) {
 	t.Helper()
 	command := exec.Command(filepath.Join(binaries, "lentilctl"), append([]string{"--address", operators}, args...)...)
 	content, err := command.CombinedOutput()
