--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -34,10 +34,11 @@
 	Weights weightsCommand `command:"weights" description:"stand-in for the weight store"`
 	Engine  engineCommand  `command:"engine" description:"stand-in for a model engine"`
 	Service serviceCommand `command:"service" description:"stand-in for a plain service"`
+	Load    loadCommand    `command:"load" description:"run a load experiment and report on it"`
 	Demo    demoCommand    `command:"demo" description:"run the main job on embedded stand-ins"`
 }
 
-// out is where the commands print.
+// errFailed is the cause of a run that did not go as it should.
 var errFailed = errors.New("failed")
 
 // Main runs one command and returns its exit code.
@@ -48,6 +49,7 @@
 	options.Engine.out = output
 	options.Service.out = output
 	options.Demo.out = output
+	options.Load.out = output
 	parser := flags.NewParser(options, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "lentildev"
 	_, err := parser.ParseArgs(args)
--- a/io/bench/demo.go
+++ b/io/bench/demo.go
@@ -1,9 +1,7 @@
 package bench
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,8 +9,6 @@
 	"strings"
 	"time"
 
-	"lentilproxy/core/conf"
-	"lentilproxy/core/decl"
 	"lentilproxy/core/setup"
 	"lentilproxy/io/admin"
 	"lentilproxy/io/daemon"
@@ -22,11 +18,10 @@
 )
 
 const (
-	demoReadyWait   = 20 * time.Second
-	demoWithdrawn   = 4 * time.Second
-	demoPoll        = 50 * time.Millisecond
-	demoTokens      = 8
-	demoCallTimeout = 30 * time.Second
+	demoDaemons   = 2
+	demoReadyWait = 20 * time.Second
+	demoWithdrawn = 4 * time.Second
+	demoTokens    = 8
 )
 
 type demoCommand struct {
@@ -35,13 +30,11 @@
 	out io.Writer
 }
 
-// demo is a whole deployment in one process.
+// demo is a walk through the main job.
 type demo struct {
+	*deployment
 	out     io.Writer
-	stands  []*fake.Server
-	daemons []*daemon.Daemon
 	service *fake.Service
-	client  *http.Client
 	key     string
 	keyName string
 	step    int
@@ -49,7 +42,7 @@
 
 // Execute implements flags.Commander.
 func (command *demoCommand) Execute([]string) error {
-	demo := &demo{out: command.out, client: &http.Client{Timeout: demoCallTimeout}}
+	demo := &demo{deployment: newDeployment(), out: command.out}
 	defer demo.close()
 	log := logr.Discard()
 	if command.Verbose {
@@ -72,67 +65,13 @@
 	_, _ = fmt.Fprintf(demo.out, "%d. %s\n", demo.step, fmt.Sprintf(format, args...))
 }
 
-func (demo *demo) close() {
-	for _, running := range demo.daemons {
-		running.Stop()
-	}
-	for _, stand := range demo.stands {
-		stand.Close()
-	}
-}
-
-func (demo *demo) stand(handler http.Handler) (string, error) {
-	server, err := fake.Serve("127.0.0.1:0", handler)
-	if err != nil {
-		return "", err
-	}
-	demo.stands = append(demo.stands, server)
-	return server.Address(), nil
-}
-
-// start runs the stand-ins and two daemons.
+// start runs the table stand-in and two daemons.
 func (demo *demo) start(log logr.Logger) error {
-	tableAddress, err := demo.stand(fake.NewTable())
-	if err != nil {
+	if err := demo.startDaemons(demoDaemons, log, nil); err != nil {
 		return err
 	}
-	for number := range 2 {
-		settings := &setup.Settings{
-			Host:     setup.Host{Name: fmt.Sprintf("host-%d", number+1), DataCentre: "dc-1"},
-			Listen:   setup.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0", AdvertisePeers: "127.0.0.1:0"},
-			Platform: setup.Platform{Table: tableAddress},
-			Weights:  setup.Weights{LoadsPerSecond: setup.DefaultLoadsPerSec, Parallel: setup.DefaultParallel, Policy: setup.DefaultPolicy},
-			Traffic: setup.Traffic{
-				MaxBodyBytes: setup.DefaultMaxBodyBytes, QueueTimeout: setup.DefaultQueueTimeout,
-				StopTimeout: setup.DefaultStopTimeout, DefaultMaxTokens: setup.DefaultMaxTokens,
-			},
-		}
-		running, err := daemon.New(settings, daemon.WithLog(log))
-		if err != nil {
-			return err
-		}
-		demo.daemons = append(demo.daemons, running)
-	}
 	demo.sayf("two daemons run, for callers at %s and %s", demo.daemons[0].Callers(), demo.daemons[1].Callers())
-	return await(demoReadyWait, "both daemons are ready and in the roster", func() bool {
-		for _, running := range demo.daemons {
-			if !running.Node().Ready(time.Now()) || len(running.Node().View().State().Roster().Members) != len(demo.daemons) {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func await(limit time.Duration, what string, done func() bool) error {
-	deadline := time.Now().Add(limit)
-	for !done() {
-		if time.Now().After(deadline) {
-			return fmt.Errorf("%w: %s did not happen within %s", errFailed, what, limit)
-		}
-		time.Sleep(demoPoll)
-	}
-	return nil
+	return demo.awaitRoster(demoReadyWait)
 }
 
 // declare applies the resources and makes a key, through the first daemon.
@@ -152,20 +91,13 @@
 	if err != nil {
 		return err
 	}
-	file, faults := decl.Parse("demo.ini", fmt.Appendf(nil, demoResources, engine, service))
-	if len(faults) > 0 {
-		return fmt.Errorf("%w: %v", errFailed, faults[0])
-	}
-	resources, faults := conf.ParseResources(file)
-	if len(faults) > 0 {
-		return fmt.Errorf("%w: %v", errFailed, faults[0])
-	}
-	var applied admin.ApplyResult
-	if err = demo.operate("/v1/apply", admin.ApplyRequest{Resources: resources}, &applied); err != nil {
+	resources, err := parseResources(fmt.Appendf(nil, demoResources, engine, service))
+	if err != nil {
 		return err
 	}
-	if !applied.Accepted.Status {
-		return fmt.Errorf("%w: the resources were not accepted: %+v", errFailed, applied)
+	applied, err := demo.apply(resources)
+	if err != nil {
+		return err
 	}
 	demo.sayf("%d resources are accepted as revision %d", len(resources), applied.Revision)
 	var granted admin.GrantResult
@@ -177,19 +109,6 @@
 	return nil
 }
 
-func (demo *demo) operate(path string, body, result any) error {
-	content, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	response, err := demo.client.Post("http://"+demo.daemons[0].Operators()+path, "application/json", bytes.NewReader(content))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	return json.NewDecoder(response.Body).Decode(result)
-}
-
 func (demo *demo) post(daemonNumber int, path, idempotencyKey, body string) (*http.Response, error) {
 	url := "http://" + demo.daemons[daemonNumber].Callers() + path
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader(body))
--- a/io/fake/weights.go
+++ b/io/fake/weights.go
@@ -52,7 +52,7 @@
 	case PathFault:
 		var fault WeightsFault
 		if readJSON(writer, request, &fault) {
-			stand.setFault(fault)
+			stand.SetFault(fault)
 			writeJSON(writer, http.StatusOK, fault)
 		}
 	case PathStats:
@@ -62,7 +62,8 @@
 	}
 }
 
-func (stand *Weights) setFault(fault WeightsFault) {
+// SetFault replaces the faults.
+func (stand *Weights) SetFault(fault WeightsFault) {
 	stand.mutex.Lock()
 	defer stand.mutex.Unlock()
 	stand.away = fault.Away
--- a/io/gate/complete.go
+++ b/io/gate/complete.go
@@ -59,7 +59,11 @@
 	}
 	defer completion.settle()
 	gate.node.Earn()
-	return completion.run()
+	refusal := completion.run()
+	if refusal != nil && !completion.passed {
+		completion.timing()
+	}
+	return refusal
 }
 
 // decode reads the fields that the gate needs; the others are passed on as they are.
@@ -144,10 +148,14 @@
 	return int64(size/bytesPerToken) + 1
 }
 
+// cost returns the greatest possible cost, in tokens.
+func (completion *completion) cost() float64 {
+	return float64(completion.promptTokens() + completion.maxTokens)
+}
+
 // charge takes the greatest possible cost from the workspace's limit.
 func (completion *completion) charge() *Refusal {
-	cost := completion.promptTokens() + completion.maxTokens
-	receipt, refusal := completion.call.charge(float64(cost))
+	receipt, refusal := completion.call.charge(completion.cost())
 	completion.receipt = receipt
 	return refusal
 }
@@ -223,7 +231,7 @@
 		want.Weight = workspace.Weight
 	}
 	for {
-		slot, refusal := completion.gate.node.Reserve(ctx, want, completion.avoid)
+		slot, refusal := completion.gate.node.Reserve(ctx, want, completion.cost(), completion.avoid)
 		if refusal != place.RefuseNone {
 			return nil, placeRefusal(refusal)
 		}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -29,6 +29,7 @@
 	HeaderVersion        = "X-Lentil-Version"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderReplayed       = "X-Lentil-Replayed"
+	HeaderTiming         = "Server-Timing"
 )
 
 const (
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -58,11 +59,18 @@
 	completion.gate.node.Cleared(completion.digest)
 	completion.writer.Header().Set("Content-Type", "application/json")
 	completion.writer.Header().Set(HeaderVersion, completion.model)
+	completion.timing()
 	completion.writer.WriteHeader(http.StatusOK)
 	_, _ = completion.writer.Write(public)
 	return nil, false
 }
 
+// timing tells the caller how long the request waited for its adapter.
+func (completion *completion) timing() {
+	waited := float64(completion.sample.Stall.Microseconds()) / 1000
+	completion.writer.Header().Set(HeaderTiming, fmt.Sprintf("load;dur=%.1f", waited))
+}
+
 // mismatch handles an answer that names another instance. It is never passed on.
 func (completion *completion) mismatch(slot *node.Slot) (*Refusal, bool) {
 	completion.gate.metrics.Counter("wrong_model_answers").Inc(1)
@@ -203,6 +211,7 @@
 		header.Set("Content-Type", "text/event-stream")
 		header.Set("Cache-Control", "no-store")
 		header.Set(HeaderVersion, completion.model)
+		completion.timing()
 		completion.writer.WriteHeader(http.StatusOK)
 		completion.passed = true
 	}
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"lentilproxy/core/conf"
-	"lentilproxy/core/fresh"
 	"lentilproxy/core/guard"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/place"
+	"lentilproxy/core/queue"
 	"lentilproxy/core/route"
 	"lentilproxy/core/value"
 )
@@ -23,9 +23,7 @@
 	accrueWait = 10 * time.Millisecond
 	// minExchangeInterval bounds how often requests that wait cause an exchange of loans.
 	minExchangeInterval = 25 * time.Millisecond
-	// acquireRetry is the wait before the owner of a pool is asked again.
-	acquireRetry = 50 * time.Millisecond
-	tokenBytes   = 16
+	tokenBytes          = 16
 )
 
 // newToken returns a unique token.
@@ -46,6 +44,12 @@
 	holder *place.Holder
 	routes *route.Table
 	board  *guard.Board
+	queue  *queue.Queue
+	// waiters are the requests in the queue, by their number.
+	waiters map[int64]*waiter
+	number  int64
+	// asking are the questions for permits that are under way.
+	asking map[question]chan struct{}
 	// credited is closed whenever tokens arrive from another host.
 	credited chan struct{}
 }
@@ -54,6 +58,7 @@
 	return &traffic{
 		node: node, bank: limit.NewBank(node.Name()),
 		holder: place.NewHolder(), routes: route.NewTable(node.settings.Host.DataCentre), board: guard.NewBoard(),
+		queue: queue.New(), waiters: map[int64]*waiter{}, asking: map[question]chan struct{}{},
 		credited: make(chan struct{}),
 	}
 }
@@ -275,177 +280,6 @@
 	return traffic.holder.RevokeAll(now, epoch, engines)
 }
 
-// Slot is the right to send one request to one instance. It has to be released.
-type Slot struct {
-	node    *Node
-	permit  place.Permit
-	address string
-	once    sync.Once
-}
-
-// Instance returns the name under which the engine knows the instance.
-func (slot *Slot) Instance() string { return slot.permit.Instance }
-
-// Engine returns the name of the backend server.
-func (slot *Slot) Engine() string { return slot.permit.Engine }
-
-// Address returns IP:port of the backend server.
-func (slot *Slot) Address() string { return slot.address }
-
-// Valid says whether the request may still be sent at an instant.
-func (slot *Slot) Valid(now time.Time) bool {
-	slot.node.traffic.mutex.Lock()
-	defer slot.node.traffic.mutex.Unlock()
-	return slot.node.traffic.holder.Valid(now, slot.permit.Instance)
-}
-
-// Release ends the use of the instance.
-func (slot *Slot) Release() {
-	slot.once.Do(func() {
-		traffic := slot.node.traffic
-		traffic.mutex.Lock()
-		traffic.routes.Stop(slot.permit.Engine)
-		returned := traffic.holder.Stop(slot.permit.Instance)
-		traffic.mutex.Unlock()
-		if returned {
-			slot.node.post(func(now time.Time) { traffic.control.reportPermits(now, func() {}) })
-		}
-	})
-}
-
-// Reserve waits for an instance of an adapter version and reserves it for one request. The servers in avoid are used
-// only if there is no other.
-func (node *Node) Reserve(ctx context.Context, want place.Want, avoid value.Set[string]) (*Slot, place.Refusal) {
-	for {
-		view := node.View()
-		if !view.Fresh(time.Now()) {
-			return nil, place.RefuseStale
-		}
-		if slot := node.traffic.take(time.Now(), view.state, want.Model, avoid); slot != nil {
-			return slot, place.RefuseNone
-		}
-		pool, found := poolFor(view.state, want.BaseModel)
-		if !found {
-			return nil, place.RefuseNoEngine
-		}
-		refusal := node.acquire(ctx, view.state, pool, want)
-		if refusal != place.RefuseNone && refusal != place.RefuseNotOwner {
-			return nil, refusal
-		}
-		if refusal == place.RefuseNotOwner {
-			select {
-			case <-time.After(acquireRetry):
-			case <-ctx.Done():
-			}
-		}
-		if ctx.Err() != nil {
-			return nil, place.RefuseTimeout
-		}
-		// Only the first try avoids servers; otherwise a model on one server could never be reached.
-		avoid = nil
-	}
-}
-
-// poolFor returns the pool that runs a base model.
-func poolFor(state *conf.State, baseModel string) (string, bool) {
-	for _, resource := range state.Engines() {
-		if resource.BackendServer.BaseModel == baseModel {
-			return resource.BackendServer.Pool, true
-		}
-	}
-	return "", false
-}
-
-func (traffic *traffic) take(now time.Time, state *conf.State, model string, avoid value.Set[string]) *Slot {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	permits := map[string]place.Permit{}
-	var candidates []route.Candidate
-	for _, permit := range traffic.holder.Usable(now, model) {
-		resource := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: permit.Engine})
-		if resource == nil || resource.BackendServer.Draining {
-			continue
-		}
-		permits[permit.Engine] = permit
-		candidates = append(candidates, candidate(resource))
-	}
-	name, found := traffic.routes.Pick(now, candidates, model, avoid)
-	if !found || !traffic.holder.Start(now, permits[name].Instance) {
-		return nil
-	}
-	traffic.routes.Start(name)
-	address := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: name}).BackendServer.Address
-	return &Slot{node: traffic.node, permit: permits[name], address: address}
-}
-
-func candidate(resource *conf.Resource) route.Candidate {
-	server := resource.BackendServer
-	return route.Candidate{Server: resource.Name, DataCentre: server.DataCentre, MaxInFlight: server.MaxInFlight}
-}
-
-// acquire asks the owner of a pool for a permit.
-func (node *Node) acquire(ctx context.Context, state *conf.State, pool string, want place.Want) place.Refusal {
-	owner := state.Owner(pool)
-	known, found := findMember(state, owner.Host)
-	if !found {
-		return place.RefuseNotOwner
-	}
-	timeout := time.Duration(0)
-	if deadline, limited := ctx.Deadline(); limited {
-		timeout = time.Until(deadline)
-	}
-	sentAt := time.Now()
-	var result acquireResult
-	params := acquireParams{Host: node.Name(), Pool: pool, Want: want, Timeout: timeout}
-	// A call that outlives the proof would keep the caller waiting although this host can do nothing for it.
-	ctx, cancel := node.whileFresh(ctx)
-	defer cancel()
-	if err := node.callHost(ctx, known, methodAcquire, params, &result); err != nil {
-		return place.RefuseNotOwner
-	}
-	if result.Refusal == place.RefuseNone {
-		node.traffic.mutex.Lock()
-		defer node.traffic.mutex.Unlock()
-		// The permit counts from the question. After a long load it may have ended, and is asked for again.
-		node.traffic.holder.Add(sentAt, result.Permit)
-	}
-	return result.Refusal
-}
-
-// whileFresh returns a context that ends soon after the host turns stale.
-func (node *Node) whileFresh(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		ticker := time.NewTicker(fresh.Limit / 4)
-		defer ticker.Stop()
-		for node.Fresh(time.Now()) {
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return
-			}
-		}
-		cancel()
-	}()
-	return ctx, cancel
-}
-
-func findMember(state *conf.State, name string) (conf.Member, bool) {
-	for _, known := range state.Roster().Everybody() {
-		if known.Name == name {
-			return known, true
-		}
-	}
-	return conf.Member{}, false
-}
-
-// Lost reports that an engine does not have an instance, although this host holds a permit for it.
-func (node *Node) Lost(instance string) {
-	node.traffic.mutex.Lock()
-	defer node.traffic.mutex.Unlock()
-	node.traffic.holder.Lost(instance)
-}
-
 // reportPermits tells the owners what this host uses, which renews its permits.
 func (control *control) reportPermits(now time.Time, done func()) {
 	defer done()
