--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -64,8 +65,14 @@
 	budget    *Budget
 	engines   map[string]*engine
 	instances map[string]*instance
-	waiting   []*waiter
-	failures  map[string]failure
+	// byModel and byEngine index the instances.
+	byModel  map[string][]*instance
+	byEngine map[string][]*instance
+	// leaving are the instances that are being revoked.
+	leaving  value.Set[string]
+	running  int
+	waiting  []*waiter
+	failures map[string]failure
 	// served counts the loads of a workspace divided by its weight, to choose whose load is next.
 	served map[string]float64
 	// planned maps a model to the instance that makes room for it.
@@ -92,6 +99,7 @@
 		epoch: epoch, policy: NewDemandPolicy(), budget: NewBudget(3, 2),
 		engines: map[string]*engine{}, instances: map[string]*instance{}, failures: map[string]failure{},
 		served: map[string]float64{}, planned: map[string]string{},
+		byModel: map[string][]*instance{}, byEngine: map[string][]*instance{}, leaving: value.NewSet[string](),
 	}
 	for _, option := range options {
 		option(manager)
@@ -182,7 +190,7 @@
 		for _, report := range census {
 			entry.inherit(now, report)
 		}
-		manager.instances[name] = entry
+		manager.book(entry)
 	}
 }
 
@@ -252,7 +260,44 @@
 	}
 }
 
+func (manager *Manager) book(entry *instance) {
+	manager.instances[entry.name] = entry
+	manager.byModel[entry.model] = append(manager.byModel[entry.model], entry)
+	manager.byEngine[entry.engine] = append(manager.byEngine[entry.engine], entry)
+	if entry.stage == stageLoading {
+		manager.running++
+	}
+}
+
+// setStage moves an instance to another stage.
+func (manager *Manager) setStage(entry *instance, next stage) {
+	if entry.stage == stageLoading {
+		manager.running--
+	}
+	delete(manager.leaving, entry.name)
+	if next == stageRevoking {
+		manager.leaving.Add(entry.name)
+	}
+	entry.stage = next
+}
+
+// without removes an instance from a list of an index.
+func without(index map[string][]*instance, key string, entry *instance) {
+	kept := slices.DeleteFunc(index[key], func(other *instance) bool { return other == entry })
+	if len(kept) == 0 {
+		delete(index, key)
+		return
+	}
+	index[key] = kept
+}
+
 func (manager *Manager) forget(entry *instance) {
+	if manager.instances[entry.name] != entry {
+		return
+	}
+	manager.setStage(entry, stageUnloading)
+	without(manager.byModel, entry.model, entry)
+	without(manager.byEngine, entry.engine, entry)
 	delete(manager.instances, entry.name)
 	manager.unplan(entry.name)
 }
@@ -320,7 +365,7 @@
 	if entry == nil || entry.stage != stageRevoking {
 		return
 	}
-	entry.stage = stageReady
+	manager.setStage(entry, stageReady)
 	entry.lastUse = now
 	if held := entry.permits[host]; held != nil {
 		held.inFlight = max(1, held.inFlight)
@@ -345,7 +390,7 @@
 		return
 	}
 	if ok {
-		entry.stage = stageReady
+		manager.setStage(entry, stageReady)
 		entry.lastUse = now
 		entry.readyAt = now
 		delete(manager.failures, entry.model)
@@ -380,7 +425,7 @@
 	case ok:
 		manager.forget(entry)
 	default:
-		entry.stage = stageRevoking
+		manager.setStage(entry, stageRevoking)
 		entry.retryAt = now.Add(LoadBackoff)
 	}
 }
@@ -441,9 +486,8 @@
 // ready returns the least loaded ready instance of a model, or nil.
 func (manager *Manager) ready(model string) *instance {
 	var best *instance
-	for _, name := range value.Sorted(manager.instances) {
-		entry := manager.instances[name]
-		if entry.model != model || entry.stage != stageReady || manager.engines[entry.engine].spec.Draining {
+	for _, entry := range manager.byModel[model] {
+		if entry.stage != stageReady || manager.engines[entry.engine].spec.Draining {
 			continue
 		}
 		if best == nil || entry.inFlight() < best.inFlight() {
@@ -464,11 +508,11 @@
 // unloads orders the unload of instances that nobody can use any more.
 func (manager *Manager) unloads(now time.Time) []Order {
 	var orders []Order
-	for _, name := range value.Sorted(manager.instances) {
+	for _, name := range value.Sorted(manager.leaving) {
 		entry := manager.instances[name]
 		entry.dropEnded(now)
-		if entry.stage == stageRevoking && len(entry.permits) == 0 && !now.Before(entry.retryAt) {
-			entry.stage = stageUnloading
+		if len(entry.permits) == 0 && !now.Before(entry.retryAt) {
+			manager.setStage(entry, stageUnloading)
 			orders = append(orders, Order{Kind: OrderUnload, Engine: entry.engine, Instance: name})
 		}
 	}
@@ -496,12 +540,23 @@
 // plan starts loads, and revocations that make room for them, in the order of fairness.
 func (manager *Manager) plan(now time.Time) []Order {
 	var orders []Order
+	if !manager.mayLoad(now) {
+		return nil
+	}
 	for _, want := range manager.wanted(now) {
-		orders = append(orders, manager.planOne(now, want)...)
+		if !manager.mayLoad(now) {
+			break
+		}
+		orders = append(orders, manager.planOne(now, want, manager.states(now))...)
 	}
 	return orders
 }
 
+// mayLoad says whether the budget allows another load, beside those that wait for room.
+func (manager *Manager) mayLoad(now time.Time) bool {
+	return manager.budget.Allows(now, manager.running) && manager.running+len(manager.planned) < manager.budget.parallel
+}
+
 // wanted returns what has to be loaded: interactive before batch, then the workspace that was served least.
 func (manager *Manager) wanted(now time.Time) []Want {
 	oldest := map[string]*waiter{}
@@ -537,24 +592,20 @@
 }
 
 func (manager *Manager) loading(model string) bool {
-	for _, entry := range manager.instances {
-		if entry.model == model && entry.stage == stageLoading {
+	for _, entry := range manager.byModel[model] {
+		if entry.stage == stageLoading {
 			return true
 		}
 	}
 	return false
 }
 
-func (manager *Manager) planOne(now time.Time, want Want) []Order {
+func (manager *Manager) planOne(now time.Time, want Want, states []lentilproxy.EngineState) []Order {
 	if _, planned := manager.planned[want.Model]; planned {
 		return nil
 	}
-	running := manager.running()
-	if !manager.budget.Allows(now, running) || running+len(manager.planned) >= manager.budget.parallel {
-		return nil
-	}
-	demand := lentilproxy.Demand{Adapter: want.Model, BaseModel: want.BaseModel, Replicas: manager.replicas(want.Model)}
-	choice, found := manager.policy.Choose(now, demand, manager.states(now))
+	demand := lentilproxy.Demand{Adapter: want.Model, BaseModel: want.BaseModel, Replicas: len(manager.byModel[want.Model])}
+	choice, found := manager.policy.Choose(now, demand, states)
 	if !found {
 		return nil
 	}
@@ -564,29 +615,9 @@
 	return manager.load(now, want, choice.Engine)
 }
 
-func (manager *Manager) running() int {
-	count := 0
-	for _, entry := range manager.instances {
-		if entry.stage == stageLoading {
-			count++
-		}
-	}
-	return count
-}
-
-func (manager *Manager) replicas(model string) int {
-	count := 0
-	for _, entry := range manager.instances {
-		if entry.model == model {
-			count++
-		}
-	}
-	return count
-}
-
 func (manager *Manager) revoke(now time.Time, want Want, choice lentilproxy.Choice) []Order {
 	entry := manager.instances[choice.Evict]
-	entry.stage = stageRevoking
+	manager.setStage(entry, stageRevoking)
 	manager.planned[want.Model] = entry.name
 	if len(entry.permits) == 0 {
 		return manager.unloads(now)
@@ -600,10 +631,10 @@
 	manager.loads++
 	manager.charge(want)
 	name := InstanceName(want.Model, manager.epoch, manager.number)
-	manager.instances[name] = &instance{
+	manager.book(&instance{
 		name: name, model: want.Model, want: want, engine: engineName, stage: stageLoading,
 		permits: map[string]*granted{}, lastUse: now,
-	}
+	})
 	return []Order{{Kind: OrderLoad, Engine: engineName, Instance: name, Source: want.Source}}
 }
 
@@ -636,15 +667,11 @@
 	state := lentilproxy.EngineState{
 		Name: known.spec.Name, BaseModel: known.spec.BaseModel, Slots: known.spec.Slots - len(known.foreign),
 	}
-	for _, held := range value.Sorted(manager.instances) {
-		entry := manager.instances[held]
-		if entry.engine != known.spec.Name {
-			continue
-		}
+	for _, entry := range manager.byEngine[known.spec.Name] {
 		inFlight := entry.inFlight()
 		state.InFlight += inFlight
 		state.Held = append(state.Held, lentilproxy.HeldInstance{
-			Instance: held, Adapter: entry.model, LastUse: entry.lastUse, Rate: entry.rate.at(now),
+			Instance: entry.name, Adapter: entry.model, LastUse: entry.lastUse, Rate: entry.rate.at(now),
 			Busy: inFlight > 0 || entry.stage != stageReady,
 		})
 	}
