--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -19,8 +19,15 @@
 		presented string
 		verdict   Verdict
 	}{
-		{key, Valid}, {"", Missing}, {gone, Withdrawn}, {Format("one", "wrong"), Unknown}, {Format("three", "secret"), Unknown},
-		{"secret", Unknown}, {Prefix, Unknown}, {key + strings.Repeat("x", MaxBytes), Unknown}, {Format("two", "wrong"), Unknown},
+		{key, Valid},
+		{"", Missing},
+		{gone, Withdrawn},
+		{Format("one", "wrong"), Unknown},
+		{Format("three", "secret"), Unknown},
+		{"secret", Unknown},
+		{Prefix, Unknown},
+		{key + strings.Repeat("x", MaxBytes), Unknown},
+		{Format("two", "wrong"), Unknown},
 	} {
 		t.Run(test.presented, func(t *testing.T) {
 			is := is.New(t)
--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -32,7 +32,6 @@
 	permits map[string]*granted
 	lastUse time.Time
 	readyAt time.Time
-	rate    rate
 	retryAt time.Time
 }
 
@@ -73,6 +72,8 @@
 	running  int
 	waiting  []*waiter
 	failures map[string]failure
+	// demand is how often each model is asked for, whether it is loaded or not.
+	demand *demandBook
 	// served counts the loads of a workspace divided by its weight, to choose whose load is next.
 	served map[string]float64
 	// planned maps a model to the instance that makes room for it.
@@ -99,7 +100,7 @@
 		epoch: epoch, policy: NewDemandPolicy(), budget: NewBudget(3, 2),
 		engines: map[string]*engine{}, instances: map[string]*instance{}, failures: map[string]failure{},
 		served: map[string]float64{}, planned: map[string]string{},
-		byModel: map[string][]*instance{}, byEngine: map[string][]*instance{}, leaving: value.NewSet[string](),
+		byModel: map[string][]*instance{}, byEngine: map[string][]*instance{}, leaving: value.NewSet[string](), demand: newDemandBook(),
 	}
 	for _, option := range options {
 		option(manager)
@@ -313,6 +314,7 @@
 // Acquire asks for a permit and returns the ticket under which the reply will come from Step.
 func (manager *Manager) Acquire(now time.Time, host string, want Want, deadline time.Time) int64 {
 	manager.ticket++
+	manager.demand.add(now, want.Model, 1)
 	for _, avoid := range want.Avoid {
 		manager.Missing(avoid)
 	}
@@ -336,7 +338,7 @@
 		}
 		if use.Requests > 0 || use.InFlight > 0 {
 			entry.lastUse = now
-			entry.rate.add(now, float64(use.Requests))
+			manager.demand.add(now, entry.model, float64(use.Requests))
 		}
 		held := entry.permits[host]
 		if held == nil {
@@ -445,7 +447,6 @@
 	for _, waiting := range manager.waiting {
 		if entry := manager.ready(waiting.want.Model); entry != nil {
 			entry.lastUse = now
-			entry.rate.add(now, 1)
 			replies = append(replies, Reply{Ticket: waiting.ticket, Permit: manager.grant(now, waiting.host, entry)})
 			continue
 		}
@@ -671,7 +672,7 @@
 		inFlight := entry.inFlight()
 		state.InFlight += inFlight
 		state.Held = append(state.Held, lentilproxy.HeldInstance{
-			Instance: entry.name, Adapter: entry.model, LastUse: entry.lastUse, Rate: entry.rate.at(now),
+			Instance: entry.name, Adapter: entry.model, LastUse: entry.lastUse, Rate: manager.demand.at(now, entry.model),
 			Busy: inFlight > 0 || entry.stage != stageReady,
 		})
 	}
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"lentilproxy"
@@ -9,25 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// rateHorizon is the time over which the demand for an instance is averaged.
-const rateHorizon = 20 * time.Second
-
-// rate averages requests per second with exponential decay.
-type rate struct {
-	level   float64
-	updated time.Time
-}
-
-func (rate *rate) add(now time.Time, requests float64) {
-	rate.level = rate.at(now) + requests/rateHorizon.Seconds()
-	rate.updated = now
-}
-
-func (rate *rate) at(now time.Time) float64 {
-	elapsed := max(0, now.Sub(rate.updated).Seconds())
-	return rate.level * math.Exp(-elapsed/rateHorizon.Seconds())
-}
-
 // fits returns the engines that run a base model and do not hold the adapter already.
 func fits(demand lentilproxy.Demand, engines []lentilproxy.EngineState) []lentilproxy.EngineState {
 	var usable []lentilproxy.EngineState
