Fuzz targets for everything that takes bytes from outside, runnable examples; peers' changes are checked whole

Cause: a change from a peer with a resource that lacks the field of its kind would have stopped the control goroutine.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -53,6 +53,10 @@
 	report := func(field, format string, args ...any) {
 		problems = append(problems, Problem{ref: resource.Ref(), field: field, message: fmt.Sprintf(format, args...)})
 	}
+	if !resource.Complete() {
+		report("", "the resource must have the fields of its kind, and no others")
+		return problems
+	}
 	if !nameFits(resource) {
 		report("", "the name must be %s, of at most %d bytes", nameShape(resource.Kind), MaxNameBytes)
 		return problems
--- a/core/conf/kinds.go
+++ b/core/conf/kinds.go
@@ -64,6 +64,21 @@
 // Ref returns the identity of the resource.
 func (resource *Resource) Ref() Ref { return Ref{Kind: resource.Kind, Name: resource.Name} }
 
+// Complete says whether exactly the field of the resource's kind is set.
+func (resource *Resource) Complete() bool {
+	present := map[Kind]bool{
+		KindWorkspace: resource.Workspace != nil, KindKey: resource.APIKey != nil, KindAdapter: resource.Adapter != nil,
+		KindVersion: resource.Version != nil, KindRoute: resource.Route != nil, KindLimit: resource.Limit != nil,
+		KindBackendServer: resource.BackendServer != nil, KindRoster: resource.Roster != nil, KindOwner: resource.Owner != nil,
+	}
+	for kind, set := range present {
+		if set != (kind == resource.Kind) {
+			return false
+		}
+	}
+	return present[resource.Kind]
+}
+
 // Workspace is a tenant.
 type Workspace struct {
 	// Weight is the share of contended capacity relative to other workspaces.
--- a/core/conf/state.go
+++ b/core/conf/state.go
@@ -14,6 +14,16 @@
 	Deletes []Ref      `json:"deletes,omitempty"`
 }
 
+// Complete says whether every resource of the change is.
+func (change Change) Complete() bool {
+	for index := range change.Puts {
+		if !change.Puts[index].Complete() {
+			return false
+		}
+	}
+	return true
+}
+
 // State is an immutable configuration at one revision.
 type State struct {
 	revision int64
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,68 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func TestJudge(t *testing.T) {
+	claim := NewClaim(epoch, "mine", "host-1", "d", time.Hour)
+	done := claim.Finish(201, "text/plain", []byte("ok"))
+	large := claim.Finish(201, "text/plain", make([]byte, MaxRecordedBytes+1))
+	for _, test := range []struct {
+		name          string
+		row           *Record
+		token, digest string
+		verdict       Verdict
+	}{
+		{"nobody", nil, "mine", "d", Claim},
+		{"own claim", &claim, "mine", "d", Send},
+		{"another's claim", &claim, "other", "d", Undecided},
+		{"another's claim for another request", &claim, "other", "e", Mismatch},
+		{"done", &done, "other", "d", Replay},
+		{"done by this attempt", &done, "mine", "d", Replay},
+		{"done with another request", &done, "other", "e", Mismatch},
+		{"done, too large to record", &large, "other", "d", Undecided},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Judge(test.row, test.token, test.digest), test.verdict)
+		})
+	}
+	is := is.New(t)
+	is.True(!done.Expired(epoch.Add(time.Hour)))
+	is.True(done.Expired(epoch.Add(time.Hour + time.Second)))
+	decoded, err := Decode(done.Encode())
+	is.NoErr(err)
+	is.Equal(string(decoded.Body), "ok")
+	is.True(RowKey("r", "ab", "c") != RowKey("r", "a", "bc")) // parts do not run into each other
+	is.True(Digest("POST", "/a", []byte("b")) != Digest("POST", "/ab", nil))
+}
+
+// A request is claimed before it is sent, and its outcome recorded.
+func ExampleJudge() {
+	row := NewClaim(epoch, "attempt 1", "host-1", "digest", 24*time.Hour)
+	fmt.Println(Judge(&row, "attempt 1", "digest") == Send)
+	fmt.Println(Judge(&row, "attempt 2", "digest") == Undecided)
+	row = row.Finish(201, "application/json", []byte(`{"order":17}`))
+	fmt.Println(Judge(&row, "attempt 3", "digest") == Replay)
+	// Output:
+	// true
+	// true
+	// true
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"token":"t","stage":"done"}`))
+	f.Add([]byte(`{"claimed_at":"x"}`))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		if record, err := Decode(content); err == nil && record != nil {
+			Judge(record, "t", "d")
+		}
+	})
+}
--- /dev/null
+++ b/core/setup/setup_test.go
@@ -0,0 +1,73 @@
+package setup
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lentilproxy/core/decl"
+)
+
+const valid = `
+[host]
+name = host-1
+data_centre = dc-1
+[listen]
+callers = 127.0.0.1:8080
+operators = 127.0.0.1:8081
+peers = 127.0.0.1:8082
+[platform]
+table = 127.0.0.1:7000
+[objective "fast"]
+indicator = first_token
+target = 0.95
+threshold = 1200ms
+`
+
+func parse(content string) (*Settings, string) {
+	file, faults := decl.Parse("test.ini", []byte(content))
+	settings, more := Parse(file)
+	return settings, fmt.Sprint(append(faults, more...))
+}
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	settings, faults := parse(valid)
+	is.Equal(faults, "[]")
+	is.Equal(settings.Listen.AdvertisePeers, "127.0.0.1:8082")
+	is.Equal(settings.Traffic.MaxBodyBytes, int64(DefaultMaxBodyBytes))
+	is.Equal(settings.Objectives[0].Threshold, 1200*time.Millisecond)
+	is.Equal(settings.Objectives[0].Name, "fast")
+	for _, test := range []struct{ change, with, fault string }{
+		{"name = host-1", "", "test.ini:2: host: name is missing"},
+		{"127.0.0.1:8081", "127.0.0.1:8080", "test.ini:7: listen: operators is the same address as callers"},
+		{"127.0.0.1:7000", "table.example:1", `test.ini:10: platform: table: "table.example:1" is not IP:port`},
+		{"0.95", "95", "test.ini:13: objective fast: target must lie between 0 and 1"},
+		{"first_token", "speed", `test.ini:12: objective fast: indicator "speed" is none of`},
+		{"[platform]", "[traffic]\nqueue_timeout = 0s\n[weights]\npolicy = best\nparallel = 0\n[platform]", `policy "best" is none of`},
+		{"[platform]", "[traffic]\nqueue_timeout = 0s\n[platform]", "test.ini:10: traffic: queue_timeout must be positive"},
+		{"[host]", "[host]\n[host]", "test.ini:3: host: declared twice, first in line 2"},
+		{"[host]", "stray\n[host]", "test.ini:2: a key must stand in a section"},
+		{"[host]", "[host \"x\"]", "this section takes no name"},
+	} {
+		_, faults = parse(strings.Replace(valid, test.change, test.with, 1))
+		is.True(strings.Contains(faults, test.fault)) // the fault is named with its line
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("[host\nname\n=x\n[objective \"a]\ntarget=NaN\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		file, faults := decl.Parse("fuzz.ini", content)
+		if file == nil && len(faults) == 0 {
+			t.Fatal("a file that cannot be parsed has no fault")
+		}
+		if file != nil {
+			Parse(file)
+		}
+	})
+}
--- /dev/null
+++ b/io/gate/gate_test.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lentilproxy/core/setup"
+)
+
+func testGate() *Gate {
+	return &Gate{settings: &setup.Settings{Traffic: setup.Traffic{DefaultMaxTokens: 16, MaxBodyBytes: 1 << 20}}}
+}
+
+func TestPublish(t *testing.T) {
+	completion := &completion{model: "shop/ribs@v2"}
+	for _, test := range []struct {
+		name, content, public string
+		valid                 bool
+	}{
+		{"own", `{"id":"1","model":"shop/ribs@v2#1.2","x":[1]}`, `{"id":"1","model":"shop/ribs@v2","x":[1]}`, true},
+		{"another instance", `{"model":"shop/ribs@v2#1.3"}`, "", false},
+		{"public name", `{"model":"shop/ribs@v2"}`, "", false},
+		{"no model", `{"id":"1"}`, "", false},
+		{"not an object", `[1]`, "", false},
+		{"cut off", `{"model":"shop/ribs@v2#1.2"`, "", false},
+		{"name in the text", `{"model":"shop/ribs@v2#1.2","text":"shop/ribs@v2#1.2"}`, `{"model":"shop/ribs@v2","text":"shop/ribs@v2#1.2"}`, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			public, _, valid := completion.publish("shop/ribs@v2#1.2", []byte(test.content))
+			is.Equal(valid, test.valid)
+			is.Equal(string(public), test.public)
+		})
+	}
+}
+
+func TestBearer(t *testing.T) {
+	is := is.New(t)
+	for header, key := range map[string]string{"Bearer lk_a_b": "lk_a_b", "bearer  lk_a_b ": "lk_a_b", "Basic x": "", "": "", "lk_a_b": ""} {
+		request := httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+		request.Header.Set("Authorization", header)
+		is.Equal(bearer(request), key)
+	}
+}
+
+// Whatever a caller sends, it is either understood or refused with a code.
+func FuzzCallerBody(f *testing.F) {
+	f.Add([]byte(`{"model":"shop/ribs@v2","prompt":"x","stream":true,"max_tokens":3,"priority":"batch"}`))
+	f.Add([]byte(`{"model":7}`))
+	f.Add([]byte(`{"model":"a","max_tokens":1e99}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		completion := &completion{call: &call{gate: testGate(), body: content}}
+		if refusal := completion.decode(); refusal != nil {
+			if refusal.code == "" || refusal.executed != ExecutedNo {
+				t.Fatalf("a refusal without a code: %+v", refusal)
+			}
+			return
+		}
+		body, err := completion.bodyFor("instance")
+		var sent struct {
+			Model string `json:"model"`
+		}
+		if err != nil || json.Unmarshal(body, &sent) != nil || sent.Model != "instance" || completion.cost() < 1 {
+			t.Fatalf("the body was passed on as %s (%v)", body, err)
+		}
+	})
+}
+
+// Whatever an engine sends, nothing is passed on but an answer that names the instance.
+func FuzzEngineEvent(f *testing.F) {
+	f.Add([]byte(`{"model":"i","choices":[]}`))
+	f.Add([]byte(`{"model":"i","usage":{"completion_tokens":-1}}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		completion := &completion{model: "public"}
+		public, _, valid := completion.publish("i", content)
+		if valid && (!json.Valid(public) || !strings.Contains(string(public), `"model":"public"`)) {
+			t.Fatalf("passed on %s", public)
+		}
+	})
+}
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -195,13 +195,26 @@
 }
 
 func (control *control) onNotify(now time.Time, params notifyParams) fresh.Answer {
-	if len(params.Changes) > 0 && params.Changes[0].Revision <= control.state.Revision()+1 && control.ready {
+	if control.ready && follows(control.state, params.Changes) {
 		control.adopt(now, params.Changes)
 	}
 	control.meet(now, params.From)
 	return control.status(now)
 }
 
+// follows says whether changes of a peer are whole, in order, and leave no gap after a state.
+func follows(state *conf.State, changes []conf.Change) bool {
+	if len(changes) == 0 || changes[0].Revision > state.Revision()+1 {
+		return false
+	}
+	for index, change := range changes {
+		if !change.Complete() || change.Revision != changes[0].Revision+int64(index) {
+			return false
+		}
+	}
+	return true
+}
+
 func (control *control) onChanges(_ time.Time, params changesParams) changesResult {
 	if len(control.tail) == 0 || control.tail[0].Revision > params.After+1 {
 		return changesResult{}
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -130,8 +130,8 @@
 		}
 		for _, row := range result.Rows {
 			var change conf.Change
-			if err = json.Unmarshal(row.Value, &change); err != nil {
-				return nil, oops.Code("bad_row").With("row", row.Key).Wrap(err)
+			if err = json.Unmarshal(row.Value, &change); err != nil || !change.Complete() {
+				return nil, oops.Code("bad_row").With("row", row.Key).Errorf("a row cannot be read: %v", err)
 			}
 			changes = append(changes, change)
 			revision = change.Revision
@@ -161,8 +161,8 @@
 		}
 		for _, row := range page.Rows {
 			var resource conf.Resource
-			if err = json.Unmarshal(row.Value, &resource); err != nil {
-				return nil, oops.Code("bad_row").With("row", row.Key).Wrap(err)
+			if err = json.Unmarshal(row.Value, &resource); err != nil || !resource.Complete() {
+				return nil, oops.Code("bad_row").With("row", row.Key).Errorf("a row cannot be read: %v", err)
 			}
 			resources = append(resources, resource)
 			after = row.Key
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -250,8 +250,7 @@
 		var result changesResult
 		err := control.node.pool.Call(ctx, known.PeerAddress, methodChanges, changesParams{After: after}, &result)
 		return func(now time.Time) {
-			gap := err != nil || len(result.Changes) == 0 || result.Changes[0].Revision > control.state.Revision()+1
-			if gap {
+			if err != nil || !follows(control.state, result.Changes) {
 				control.fetch(now)
 				return
 			}
--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lentilproxy"
+	"lentilproxy/core/conf"
+	"lentilproxy/core/setup"
+)
+
+// memoryTable is a table in memory that can be away for one host.
+type memoryTable struct {
+	mutex   sync.Mutex
+	rows    map[string]lentilproxy.Row
+	version int64
+}
+
+func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]lentilproxy.Row{}} }
+
+// Read implements lentilproxy.Table.
+func (table *memoryTable) Read(_ context.Context, request lentilproxy.ReadRequest) (lentilproxy.ReadResult, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var result lentilproxy.ReadResult
+	for key, row := range table.rows {
+		below := slices.ContainsFunc(request.Prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) && key > request.After })
+		if below || slices.Contains(request.Keys, key) {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	slices.SortFunc(result.Rows, func(left, right lentilproxy.Row) int { return strings.Compare(left.Key, right.Key) })
+	if request.Limit > 0 && len(result.Rows) > request.Limit {
+		result.Rows = result.Rows[:request.Limit]
+	}
+	return result, nil
+}
+
+// Commit implements lentilproxy.Table.
+func (table *memoryTable) Commit(_ context.Context, transaction lentilproxy.Transaction) (lentilproxy.CommitResult, error) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	for _, condition := range transaction.Conditions {
+		if row := table.rows[condition.Key]; row.Version != condition.Version {
+			return lentilproxy.CommitResult{Conflicts: []lentilproxy.Row{row}}, nil
+		}
+	}
+	for _, write := range transaction.Writes {
+		table.version++
+		table.rows[write.Key] = lentilproxy.Row{Key: write.Key, Value: write.Value, Version: table.version}
+		if write.Delete {
+			delete(table.rows, write.Key)
+		}
+	}
+	return lentilproxy.CommitResult{Committed: true}, nil
+}
+
+// Hosts implements lentilproxy.HostList.
+func (table *memoryTable) Hosts(context.Context) ([]lentilproxy.HostStatus, error) {
+	return []lentilproxy.HostStatus{{Name: "host-1"}, {Name: "host-2"}}, nil
+}
+
+func startNode(t testing.TB, table *memoryTable, name string) *Node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := &setup.Settings{
+		Host:   setup.Host{Name: name, DataCentre: "dc-1"},
+		Listen: setup.Listen{AdvertisePeers: listener.Addr().String()},
+	}
+	return New(settings, table, table, listener)
+}
+
+func waitFor(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not happen", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func ready(node *Node) func() bool {
+	return func() bool { return node.Ready(time.Now()) }
+}
+
+// A later start of a host ends the earlier one, which would otherwise use the same shares.
+func TestSuperseded(t *testing.T) {
+	is := is.New(t)
+	table := newMemoryTable()
+	first := startNode(t, table, "host-1")
+	waitFor(t, "the first start is ready", ready(first))
+	second := startNode(t, table, "host-1")
+	defer second.Stop(context.Background())
+	<-first.Done()
+	is.True(first.Err() != nil)
+	is.True(!first.Ready(time.Now().Add(time.Minute)))
+	waitFor(t, "the second start is ready", ready(second))
+	first.Stop(context.Background())
+}
+
+// Of many operators that race through two hosts, each change follows the state that it was made for.
+func TestRacingCommits(t *testing.T) {
+	is := is.New(t)
+	table := newMemoryTable()
+	nodes := []*Node{startNode(t, table, "host-1"), startNode(t, table, "host-2")}
+	for _, node := range nodes {
+		defer node.Stop(context.Background())
+		waitFor(t, "the host is ready", ready(node))
+	}
+	const racers, rounds = 8, 5
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	committed := 0
+	for racer := range racers {
+		group.Go(func() {
+			for range rounds {
+				outcome := nodes[racer%2].Commit(context.Background(), newToken(), func(state *conf.State) (conf.Change, []conf.Problem, bool) {
+					weight := int64(1)
+					if workspace := state.Workspace("shop"); workspace != nil {
+						weight = workspace.Weight + 1
+					}
+					return conf.Change{Puts: []conf.Resource{{Kind: conf.KindWorkspace, Name: "shop", Workspace: &conf.Workspace{Weight: weight}}}}, nil, true
+				})
+				mutex.Lock()
+				if outcome.Status == Committed {
+					committed++
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	for _, node := range nodes {
+		waitFor(t, "the last change is in force", func() bool {
+			workspace := node.View().State().Workspace("shop")
+			return workspace != nil && workspace.Weight == int64(committed)
+		})
+	}
+	is.True(committed > 0) // no increment was lost or counted twice
+}
+
+// Whatever a peer sends, the call is answered or refused, and the node goes on.
+func FuzzPeerMessage(f *testing.F) {
+	node := startNode(f, newMemoryTable(), "host-1")
+	f.Cleanup(func() { node.Stop(context.Background()) })
+	waitFor(f, "the host is ready", ready(node))
+	methods := []string{
+		methodStatus, methodNotify, methodChanges, methodBorrow, methodGiveBack, methodAcquire, methodReport, methodReturn,
+		methodRevoke, methodCensus, methodDeath, methodSuspect, "unknown",
+	}
+	f.Add(uint8(0), []byte(`{"host":"host-2","revision":3}`))
+	f.Add(uint8(1), []byte(`{"from":{"host":"x","revision":1},"changes":[{"revision":99,"puts":[{"kind":"limit","name":"a"}]}]}`))
+	f.Add(uint8(1), []byte(`{"from":{"host":"x","revision":1},"changes":[{"revision":2,"puts":[{"kind":"limit","name":"a"}]}]}`))
+	f.Add(uint8(3), []byte(`{"host":"x","asks":[{"workspace":"a","rate":-1e308,"burst":1e308}]}`))
+	f.Add(uint8(5), []byte(`{"pool":"main","timeout":-1}`))
+	f.Add(uint8(9), []byte(`{"pool":"main","epoch":-9}`))
+	f.Fuzz(func(t *testing.T, index uint8, params []byte) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		method := methods[int(index)%len(methods)]
+		result, err := node.traffic.control.handle(ctx, method, params)
+		if err == nil {
+			if _, err = json.Marshal(result); err != nil {
+				t.Fatalf("%s has a result that cannot be sent: %v", method, err)
+			}
+		}
+		if _, err = node.Status(ctx); err != nil {
+			t.Fatalf("the node does not answer after %s: %v", method, err)
+		}
+	})
+}
--- a/io/proc/capacity_test.go
+++ b/io/proc/capacity_test.go
@@ -293,3 +293,83 @@
 		})
 	}
 }
+
+// BenchmarkPermits measures what permits cost by the number of adapters that one host uses.
+func BenchmarkPermits(b *testing.B) {
+	for _, adapters := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: 3, engines: 2, engineFlags: []string{"--slots", "80", "--step-time", "1ms"}})
+			fleet.declareAdapters(b, adapters)
+			use := func(number int) bool {
+				return send(fleet.hosts[2], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/adapter-%05d", number), 1)).whole()
+			}
+			for number := range adapters {
+				for !use(number) {
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+			fleet.measure(b, func(stop <-chan struct{}) {
+				each(8, func(caller int) {
+					for number := caller; ; number += 8 {
+						select {
+						case <-stop:
+							return
+						case <-time.After(50 * time.Millisecond):
+							use(number % adapters)
+						}
+					}
+				})
+			})
+		})
+	}
+}
+
+// BenchmarkLoans measures what loans cost by the number of workspaces that send all their requests to one host.
+func BenchmarkLoans(b *testing.B) {
+	for _, workspaces := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			fleet := newFleet(b, fleetOptions{hosts: 9, engines: 1, engineFlags: []string{"--slots", "32", "--step-time", "1ms"}})
+			var resources []conf.Resource
+			for number := range workspaces {
+				name := fmt.Sprintf("w%d", number)
+				resources = append(resources,
+					conf.Resource{Kind: conf.KindWorkspace, Name: name, Workspace: &conf.Workspace{Weight: 1}},
+					conf.Resource{Kind: conf.KindLimit, Name: name, Limit: &conf.Limit{RateTokensPerSecond: 100, BurstTokens: 200}},
+					conf.Resource{Kind: conf.KindAdapter, Name: name + "/a", Adapter: &conf.Adapter{BaseModel: "base-1", DefaultVersion: "v1"}},
+					conf.Resource{Kind: conf.KindVersion, Name: name + "/a@v1", Version: &conf.Version{Source: "a"}})
+			}
+			if err := postJSON("http://"+fleet.hosts[0].operators+"/v1/apply", admin.ApplyRequest{Resources: resources}, nil); err != nil {
+				b.Fatal(err)
+			}
+			keys := make([]string, workspaces)
+			for number := range keys {
+				keys[number], _ = fleet.grant(fmt.Sprintf("w%d", number))
+			}
+			answered := make(chan [2]int, workspaces)
+			fleet.measure(b, func(stop <-chan struct{}) {
+				each(workspaces, func(number int) {
+					whole, sent := 0, 0
+					for {
+						select {
+						case <-stop:
+							answered <- [2]int{whole, sent}
+							return
+						case <-time.After(100 * time.Millisecond):
+						}
+						sent++
+						if send(fleet.hosts[number%9], "/v1/completions", keys[number], completionBody(fmt.Sprintf("w%d/a", number), 4)).whole() {
+							whole++
+						}
+					}
+				})
+			})
+			whole, sent := 0, 0
+			for range workspaces {
+				counts := <-answered
+				whole += counts[0]
+				sent += counts[1]
+			}
+			b.ReportMetric(100*float64(whole)/float64(sent), "whole_%")
+		})
+	}
+}
