--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -182,3 +182,35 @@
 		}
 	})
 }
+
+// The result of a report is sent while the control goroutine goes on, so it must not share the owner's books.
+func TestReportResultIsItsOwn(t *testing.T) {
+	is := is.New(t)
+	node := startNode(t, newMemoryTable(), "host-1")
+	defer node.Stop(context.Background())
+	waitFor(t, "the host is ready", ready(node))
+	ctx := context.Background()
+	control := node.traffic.control
+	var owned *ownedPool
+	is.True(node.do(ctx, func(time.Time) {
+		owned = control.newOwnedPool("main", conf.Owner{Host: "host-1", Incarnation: 1, Epoch: 1})
+		owned.active = true
+		control.owned["main"] = owned
+	}))
+	var group sync.WaitGroup
+	group.Go(func() {
+		for number := range 3000 {
+			node.do(ctx, func(time.Time) { owned.running[string(rune('a'+number%26))]++ })
+		}
+	})
+	group.Go(func() {
+		for range 3000 {
+			result, err := control.handle(ctx, methodReport, []byte(`{"host":"host-2","pool":"main"}`))
+			if err != nil {
+				t.Error(err)
+			}
+			_ = mustEncode(result)
+		}
+	})
+	group.Wait()
+}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -508,7 +509,7 @@
 	if owned == nil || !owned.active || !control.tracker.Fresh(now) {
 		return reportResult{}
 	}
-	return reportResult{Owner: true, Renewed: owned.manager.Report(now, params.Host, params.Uses), Running: owned.running}
+	return reportResult{Owner: true, Renewed: owned.manager.Report(now, params.Host, params.Uses), Running: maps.Clone(owned.running)}
 }
 
 func (control *control) onReturn(now time.Time, params returnParams) bool {
--- a/io/proc/capacity_test.go
+++ b/io/proc/capacity_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -298,7 +299,7 @@
 func BenchmarkPermits(b *testing.B) {
 	for _, adapters := range []int{8, 32, 128} {
 		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
-			fleet := newFleet(b, fleetOptions{hosts: 3, engines: 2, engineFlags: []string{"--slots", "80", "--step-time", "1ms"}})
+			fleet := newFleet(b, fleetOptions{hosts: 3, engines: 2, slots: 80, engineFlags: []string{"--step-time", "1ms"}})
 			fleet.declareAdapters(b, adapters)
 			use := func(number int) bool {
 				return send(fleet.hosts[2], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/adapter-%05d", number), 1)).whole()
@@ -308,6 +309,7 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 			}
+			var whole atomic.Int64
 			fleet.measure(b, func(stop <-chan struct{}) {
 				each(8, func(caller int) {
 					for number := caller; ; number += 8 {
@@ -315,11 +317,14 @@
 						case <-stop:
 							return
 						case <-time.After(50 * time.Millisecond):
-							use(number % adapters)
+							if use(number % adapters) {
+								whole.Add(1)
+							}
 						}
 					}
 				})
 			})
+			b.ReportMetric(float64(whole.Load())/measureTime.Seconds(), "requests/s")
 		})
 	}
 }
@@ -328,7 +333,7 @@
 func BenchmarkLoans(b *testing.B) {
 	for _, workspaces := range []int{1, 4, 16} {
 		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
-			fleet := newFleet(b, fleetOptions{hosts: 9, engines: 1, engineFlags: []string{"--slots", "32", "--step-time", "1ms"}})
+			fleet := newFleet(b, fleetOptions{hosts: 9, engines: 1, slots: 32, engineFlags: []string{"--step-time", "1ms"}})
 			var resources []conf.Resource
 			for number := range workspaces {
 				name := fmt.Sprintf("w%d", number)
--- a/io/proc/faults_test.go
+++ b/io/proc/faults_test.go
@@ -59,7 +59,7 @@
 	for _, flag := range []string{"--checks-fencing", "--restart-time=400ms"} {
 		t.Run(flag, func(t *testing.T) {
 			t.Parallel()
-			fleet := newFleet(t, fleetOptions{hosts: 3, engines: 2, engineFlags: []string{flag, "--slots", "4", "--step-time", "4ms"}})
+			fleet := newFleet(t, fleetOptions{hosts: 3, engines: 2, engineFlags: []string{flag, "--step-time", "4ms"}})
 			stop := make(chan struct{})
 			var wrong, whole, cutOff, refused atomic.Int64
 			var callers sync.WaitGroup
--- a/io/proc/harness_test.go
+++ b/io/proc/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,7 +33,8 @@
 		panic(err)
 	}
 	binaries = folder
-	build := exec.Command("go", "build", "-o", folder+"/", "lentilproxy/cmd/...")
+	args := append([]string{"build", "-o", folder + "/"}, strings.Fields(os.Getenv("LENTIL_BUILD_FLAGS"))...)
+	build := exec.Command("go", append(args, "lentilproxy/cmd/...")...)
 	if output, err := build.CombinedOutput(); err != nil {
 		panic(string(output))
 	}
@@ -232,6 +235,7 @@
 	hosts   []*host
 	key     string
 	keyName string
+	slots   int
 }
 
 type fleetOptions struct {
@@ -239,6 +243,8 @@
 	engines     int
 	engineFlags []string
 	limit       string
+	// slots is the number of adapters that fit on an engine, 4 by default.
+	slots int
 }
 
 const defaultLimit = "rate_tokens_per_second = 100000\nburst_tokens = 200000\n"
@@ -249,8 +255,9 @@
 	fleet := &fleet{t: t}
 	_, fleet.table = standIn(t, "table")
 	_, fleet.weights = standIn(t, "weights", "--full-speed", "16")
+	fleet.slots = cmp.Or(options.slots, 4)
 	for range options.engines {
-		flags := append([]string{"engine", "--weights", fleet.weights}, options.engineFlags...)
+		flags := append([]string{"engine", "--weights", fleet.weights, "--slots", strconv.Itoa(fleet.slots)}, options.engineFlags...)
 		_, address := standIn(t, flags...)
 		fleet.engines = append(fleet.engines, address)
 	}
@@ -381,7 +388,7 @@
 	text.WriteString("[adapter \"shop/open\"]\nbase_model = base-1\ndefault_version = v1\nopen = true\n\n[version \"shop/open@v1\"]\nsource = o/1\n\n")
 	text.WriteString("[route \"orders\"]\nworkspaces = shop\ndedup_window = 24h\ntimeout = 10s\n\n[route \"stock\"]\nworkspaces = shop\nrepeatable = true\n\n")
 	for number, address := range fleet.engines {
-		fmt.Fprintf(&text, "[backend_server \"engine-%d\"]\naddress = %s\ndata_centre = dc-1\nbase_model = base-1\nslots = 4\n\n", number+1, address)
+		fmt.Fprintf(&text, "[backend_server \"engine-%d\"]\naddress = %s\ndata_centre = dc-1\nbase_model = base-1\nslots = %d\n\n", number+1, address, fleet.slots)
 	}
 	for _, service := range []string{"orders", "stock"} {
 		fmt.Fprintf(&text, "[backend_server \"%s-1\"]\naddress = %s\ndata_centre = dc-1\nservice = %s\n\n", service, fleet.service, service)
