Platform's list drains leaving backend servers, copies of busy models, smaller files

A backend server that the host list shows as leaving is drained by a change of the configuration, so that the news reaches all hosts at once although each reads the list at its own time.

--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -174,10 +174,10 @@
 		cluster := newCluster(hosts, 100, 300)
 		delay := func() (time.Duration, bool) {
 			kind := rapid.IntRange(0, 9).Draw(t, "delay")
-			switch {
-			case kind == 0:
+			switch kind {
+			case 0:
 				return 0, false
-			case kind == 1:
+			case 1:
 				return time.Duration(rapid.IntRange(0, 4000).Draw(t, "late")) * time.Millisecond, true
 			default:
 				return time.Duration(kind) * time.Millisecond, true
--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -68,10 +68,12 @@
 	byModel  map[string][]*instance
 	byEngine map[string][]*instance
 	// leaving are the instances that are being revoked.
-	leaving  value.Set[string]
-	running  int
-	waiting  []*waiter
-	failures map[string]failure
+	leaving value.Set[string]
+	// replicatedAt is when models that need another copy were last looked for.
+	replicatedAt time.Time
+	running      int
+	waiting      []*waiter
+	failures     map[string]failure
 	// demand is how often each model is asked for, whether it is loaded or not.
 	demand *demandBook
 	// served counts the loads of a workspace divided by its weight, to choose whose load is next.
@@ -346,12 +348,23 @@
 		}
 		held.inFlight = use.InFlight
 		if entry.stage == stageReady && (use.Requests > 0 || use.InFlight > 0) {
-			renewed = append(renewed, manager.grant(now, host, entry))
+			renewed = append(renewed, manager.grantAll(now, host, entry.model)...)
 		}
 	}
 	return renewed
 }
 
+// grantAll gives a host permits for all copies of a model.
+func (manager *Manager) grantAll(now time.Time, host, model string) []Permit {
+	var permits []Permit
+	for _, entry := range manager.byModel[model] {
+		if entry.stage == stageReady && !manager.engines[entry.engine].spec.Draining {
+			permits = append(permits, manager.grant(now, host, entry))
+		}
+	}
+	return permits
+}
+
 // Return records that hosts do not use instances any more.
 func (manager *Manager) Return(host string, instances []string) {
 	for _, name := range instances {
@@ -437,6 +450,7 @@
 	replies := manager.answer(now)
 	orders := manager.unloads(now)
 	orders = append(orders, manager.plan(now)...)
+	orders = append(orders, manager.replicate(now)...)
 	return replies, orders
 }
 
@@ -553,6 +567,30 @@
 	return orders
 }
 
+// replicate loads another copy of the model with the most requests in flight on each copy, if nobody waits for a load.
+func (manager *Manager) replicate(now time.Time) []Order {
+	if len(manager.waiting) > 0 || !manager.mayLoad(now) || now.Sub(manager.replicatedAt) < ReplicaInterval {
+		return nil
+	}
+	manager.replicatedAt = now
+	var busiest *instance
+	most := ReplicaInFlight
+	for _, model := range value.Sorted(manager.byModel) {
+		copies := manager.byModel[model]
+		sum := 0
+		for _, entry := range copies {
+			sum += entry.inFlight()
+		}
+		if each := sum / len(copies); each >= most && !manager.loading(model) {
+			busiest, most = copies[0], each+1
+		}
+	}
+	if busiest == nil || busiest.want.Source == "" {
+		return nil
+	}
+	return manager.planOne(now, busiest.want, manager.states(now))
+}
+
 // mayLoad says whether the budget allows another load, beside those that wait for room.
 func (manager *Manager) mayLoad(now time.Time) bool {
 	return manager.budget.Allows(now, manager.running) && manager.running+len(manager.planned) < manager.budget.parallel
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -27,6 +27,10 @@
 	LoadBackoff = 250 * time.Millisecond
 	// MaxLoadFailures is the number of failures in a row after which requests for an adapter are refused.
 	MaxLoadFailures = 4
+	// ReplicaInFlight is the number of requests in flight on each copy of a model above which another is loaded.
+	ReplicaInFlight = 8
+	// ReplicaInterval is the time between two looks for models that need another copy.
+	ReplicaInterval = 500 * time.Millisecond
 	// FailureMemory is how long the failures of an adapter are remembered.
 	FailureMemory = 10 * time.Second
 )
--- a/io/bench/policy_test.go
+++ b/io/bench/policy_test.go
@@ -21,10 +21,25 @@
 	events  eventHeap
 	waiting map[int64]func(place.Reply)
 	stalls  []time.Duration
-	counted int
-	refused int
+	// lossAt is when the engine that holds the most popular adapters restarts cold; earlier and later count the
+	// requests and stalls of the 20 s on both sides.
+	lossAt         time.Time
+	earlier, later lossCount
+	counted        int
+	refused        int
 }
 
+type lossCount struct {
+	requests int
+	stalled  int
+}
+
+func (count lossCount) percent() float64 {
+	return 100 * float64(count.stalled) / float64(max(1, count.requests))
+}
+
+const lossWindow = 20 * time.Second
+
 type event struct {
 	at  time.Time
 	run func()
@@ -78,6 +93,8 @@
 	for at := time.Duration(0); at < plan.experiment.Length; at += time.Second {
 		heap.Push(&pool.events, event{at: start.Add(at), run: pool.report})
 	}
+	pool.lossAt = start.Add(plan.experiment.Length * 7 / 10)
+	heap.Push(&pool.events, event{at: pool.lossAt, run: pool.lose})
 	end := start.Add(plan.experiment.Length + time.Minute)
 	for pool.events.Len() > 0 && pool.now.Before(end) {
 		next := heap.Pop(&pool.events).(event)
@@ -113,6 +130,26 @@
 	}
 }
 
+// lose empties the engine that holds the first adapter of the first workspace, or the first engine.
+func (pool *pool) lose() {
+	lost := "engine-1"
+	first := adapterName(pool.plan.tenants[0].name, 0) + "@v1"
+	for _, host := range pool.hosts {
+		for _, permit := range host.Usable(pool.now, first) {
+			lost = permit.Engine
+		}
+	}
+	for _, host := range pool.hosts {
+		for _, use := range host.Reports(pool.now) {
+			if use.Engine == lost {
+				host.Lost(use.Instance)
+			}
+		}
+	}
+	pool.manager.EngineDown(lost)
+	pool.after(time.Second, func() { pool.manager.Adopt(pool.now, pool.now, lost, nil) })
+}
+
 func (pool *pool) count(arrival arrival, stall time.Duration, refused bool) {
 	if arrival.at < pool.plan.experiment.WarmUp {
 		return
@@ -121,8 +158,19 @@
 	if refused {
 		pool.refused++
 	}
+	side := &pool.earlier
+	if !pool.now.Before(pool.lossAt) {
+		side = &pool.later
+	}
+	near := pool.now.Sub(pool.lossAt).Abs() < lossWindow
+	if near {
+		side.requests++
+	}
 	if stall >= stallThreshold {
 		pool.stalls = append(pool.stalls, stall)
+		if near {
+			side.stalled++
+		}
 	}
 }
 
@@ -183,7 +231,7 @@
 		}
 		for _, name := range []string{"demand", "least_loaded", "rendezvous"} {
 			b.Run(file+"/"+name, func(b *testing.B) {
-				var stalled, p95, refused, loads []float64
+				var stalled, p95, refused, loads, before, after []float64
 				for seed := range int64(5) {
 					pool := runPolicy(plan, policies[name](), seed+1)
 					sort.Slice(pool.stalls, func(left, right int) bool { return pool.stalls[left] < pool.stalls[right] })
@@ -191,6 +239,7 @@
 					if len(pool.stalls) > 0 {
 						p95 = append(p95, float64(pool.stalls[len(pool.stalls)*95/100].Milliseconds()))
 					}
+					before, after = append(before, pool.earlier.percent()), append(after, pool.later.percent())
 					refused = append(refused, float64(pool.refused))
 					loads = append(loads, float64(pool.manager.Loads()))
 				}
@@ -198,6 +247,8 @@
 				b.ReportMetric(median(p95), "p95_ms")
 				b.ReportMetric(median(refused), "refused")
 				b.ReportMetric(median(loads), "loads")
+				b.ReportMetric(median(before), "stalled_before_loss_%")
+				b.ReportMetric(median(after), "stalled_after_loss_%")
 				b.ReportMetric(0, "ns/op")
 			})
 		}
--- a/io/fake/table.go
+++ b/io/fake/table.go
@@ -31,6 +31,8 @@
 	LateByMS    int `json:"late_by_ms"`
 	// Only restricts the lost and late commits to those that write a row below a prefix.
 	Only string `json:"only"`
+	// Leaving are names that the host list shows as leaving.
+	Leaving []string `json:"leaving"`
 }
 
 // TableStats counts what the table stand-in did.
@@ -48,7 +50,6 @@
 	sorted  []string
 	version int64
 	written map[string]time.Time
-	leaving map[string]bool
 	fault   TableFault
 	stats   TableStats
 	mux     *http.ServeMux
@@ -57,7 +58,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	stand := &Table{
-		rows: map[string]lentilproxy.Row{}, written: map[string]time.Time{}, leaving: map[string]bool{}, mux: http.NewServeMux(),
+		rows: map[string]lentilproxy.Row{}, written: map[string]time.Time{}, mux: http.NewServeMux(),
 	}
 	stand.mux.HandleFunc("POST "+table.PathRead, stand.handleRead)
 	stand.mux.HandleFunc("POST "+table.PathCommit, stand.handleCommit)
@@ -249,9 +250,12 @@
 	hosts := []lentilproxy.HostStatus{}
 	for name, at := range stand.written {
 		if time.Since(at) < HostListLag {
-			hosts = append(hosts, lentilproxy.HostStatus{Name: name, Leaving: stand.leaving[name]})
+			hosts = append(hosts, lentilproxy.HostStatus{Name: name})
 		}
 	}
+	for _, name := range stand.fault.Leaving {
+		hosts = append(hosts, lentilproxy.HostStatus{Name: name, Leaving: true})
+	}
 	sort.Slice(hosts, func(left, right int) bool { return hosts[left].Name < hosts[right].Name })
 	writeJSON(writer, http.StatusOK, hosts)
 }
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -7,6 +7,7 @@
 	"lentilproxy/core/conf"
 	"lentilproxy/core/fresh"
 	"lentilproxy/core/member"
+	"lentilproxy/core/value"
 )
 
 // The control goroutine owns all coordination state. Everything else reaches it as a function on one channel:
@@ -67,7 +68,9 @@
 	quorumAt map[int64]time.Time
 	owned    map[string]*ownedPool
 	// orders counts the orders to the engines of each pool that are under way, also under earlier epochs.
-	orders    map[string]int
+	orders map[string]int
+	// draining are the backend servers whose drain is being committed.
+	draining  value.Set[string]
 	fetching  bool
 	proposing bool
 	// exchangedAt is when loans were last exchanged; exchangeDue says that a further exchange is on its way.
@@ -82,7 +85,7 @@
 	control := &control{
 		node: node, tracker: fresh.NewTracker(node.Name()), directory: member.NewDirectory(), state: conf.NewState(),
 		heardAt: map[string]time.Time{}, quorumAt: map[int64]time.Time{}, owned: map[string]*ownedPool{},
-		orders: map[string]int{},
+		orders: map[string]int{}, draining: value.NewSet[string](),
 	}
 	control.every(headInterval, control.readHead)
 	control.every(member.HeartbeatInterval, control.heartbeat)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -95,6 +95,7 @@
 	node.pool = peer.NewPool(node.meter, poolOptions...)
 	node.traffic = newTraffic(node)
 	control := newControl(node)
+	node.traffic.control = control
 	node.server = peer.NewServer(listener, node.meter, control.handle)
 	go func() {
 		defer close(node.done)
--- /dev/null
+++ b/io/node/roster.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/samber/oops"
+
+	"lentilproxy"
+	"lentilproxy/core/conf"
+	"lentilproxy/core/fresh"
+	"lentilproxy/core/member"
+)
+
+// directoryEvery spreads the scans so that the fleet reads a constant number of rows for each host.
+func (control *control) directoryEvery() time.Duration {
+	members := len(control.state.Roster().Members)
+	return max(minDirectoryScan, time.Duration(members)*directoryPerHost)
+}
+
+func (control *control) scanDirectory(_ time.Time, done func()) {
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		result, err := control.node.table.Read(ctx, lentilproxy.ReadRequest{Prefixes: []string{prefixHost}})
+		if err != nil {
+			return nil
+		}
+		hosts, listErr := control.node.hostList.Hosts(ctx)
+		return func(now time.Time) {
+			control.observe(now, result.Rows)
+			if listErr == nil {
+				control.list(hosts)
+			}
+		}
+	})
+}
+
+func (control *control) observe(now time.Time, rows []lentilproxy.Row) {
+	var heartbeats []member.Heartbeat
+	for _, row := range rows {
+		var heartbeat member.Heartbeat
+		if json.Unmarshal(row.Value, &heartbeat) == nil {
+			heartbeats = append(heartbeats, heartbeat)
+			control.tracker.Acknowledge(heartbeat.Member.Name, heartbeat.Revision)
+		}
+	}
+	control.directory.Observe(now, heartbeats)
+}
+
+func (control *control) list(hosts []lentilproxy.HostStatus) {
+	var names []string
+	for _, host := range hosts {
+		names = append(names, host.Name)
+	}
+	control.directory.List(names)
+	control.drainLeaving(hosts)
+}
+
+// drainLeaving drains the backend servers that the platform lists as leaving. The list lags, and each host reads it at
+// its own time; as a change of the configuration the news reaches every host at once.
+func (control *control) drainLeaving(hosts []lentilproxy.HostStatus) {
+	for _, host := range hosts {
+		ref := conf.Ref{Kind: conf.KindBackendServer, Name: host.Name}
+		old := control.state.Get(ref)
+		if !host.Leaving || old == nil || old.BackendServer.Draining || control.draining.Has(host.Name) {
+			continue
+		}
+		control.draining.Add(host.Name)
+		control.background(func() { delete(control.draining, host.Name) }, func(ctx context.Context) func(time.Time) {
+			control.node.Commit(ctx, newToken(), func(state *conf.State) (conf.Change, []conf.Problem, bool) {
+				current := state.Get(ref)
+				if current == nil || current.BackendServer.Draining {
+					return conf.Change{}, nil, false
+				}
+				server := *current.BackendServer
+				server.Draining = true
+				resource := conf.Resource{Kind: ref.Kind, Name: ref.Name, BackendServer: &server}
+				return conf.Change{Puts: []conf.Resource{resource}}, nil, true
+			})
+			return nil
+		})
+	}
+}
+
+// reviewRoster settles a roster that everybody knows, or proposes the next one.
+func (control *control) reviewRoster(now time.Time, done func()) {
+	roster := control.state.Roster()
+	var next *conf.Roster
+	switch {
+	case control.node.leaving() || !control.tracker.Fresh(now):
+	case len(roster.Members) == 0:
+		next = &conf.Roster{Members: []conf.Member{control.self()}, Settled: true}
+	case !roster.Settled:
+		if control.inForceFor(now, control.rosterRevision()) >= fresh.Takeover {
+			next = member.Settle(roster)
+		}
+	default:
+		if planned, changed := control.directory.Plan(now, roster); changed {
+			next = planned
+		}
+	}
+	if next == nil {
+		done()
+		return
+	}
+	control.proposeRoster(roster, next, done)
+}
+
+func (control *control) rosterRevision() int64 {
+	if resource := control.state.Get(conf.Ref{Kind: conf.KindRoster, Name: conf.RosterName}); resource != nil {
+		return resource.Revision
+	}
+	return 0
+}
+
+// inForceFor returns how long a quorum has been known to hold a revision.
+func (control *control) inForceFor(now time.Time, revision int64) time.Duration {
+	counted := control.directory.Counted(now, control.state.Roster(), control.tracker.Acknowledged(revision))
+	if !control.state.Roster().Quorum(counted) {
+		return 0
+	}
+	since, found := control.quorumAt[revision]
+	if !found {
+		control.quorumAt[revision] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+func (control *control) proposeRoster(old, next *conf.Roster, done func()) {
+	delay := time.Duration(control.rank()) * rosterStagger
+	control.background(done, func(ctx context.Context) func(time.Time) {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil
+		}
+		control.node.Commit(ctx, newToken(), func(state *conf.State) (conf.Change, []conf.Problem, bool) {
+			// Somebody else was faster if the roster is no longer the one that the proposal is for.
+			same := string(mustEncode(state.Roster())) == string(mustEncode(old))
+			resource := conf.Resource{Kind: conf.KindRoster, Name: conf.RosterName, Roster: next}
+			return conf.Change{Puts: []conf.Resource{resource}}, nil, same
+		})
+		return nil
+	})
+}
+
+// rank is the number of members of the roster before this host.
+func (control *control) rank() int {
+	for index, known := range control.state.Roster().Members {
+		if known.Name == control.node.Name() {
+			return index
+		}
+	}
+	return len(control.state.Roster().Members)
+}
+
+// Acceptance says how far a revision has come.
+type Acceptance struct {
+	Accepted bool `json:"accepted"`
+	InForce  bool `json:"in_force"`
+	// Missing are the hosts that may still act on an older revision.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Acceptance returns how far a revision has come, as far as this host knows.
+func (node *Node) Acceptance(ctx context.Context, revision int64) (Acceptance, error) {
+	var acceptance Acceptance
+	control := node.traffic.control
+	if !node.do(ctx, func(now time.Time) { acceptance = control.acceptance(now, revision) }) {
+		return acceptance, oops.Code("node_stopping").Errorf("the node is not running")
+	}
+	return acceptance, nil
+}
+
+func (control *control) acceptance(now time.Time, revision int64) Acceptance {
+	roster := control.state.Roster()
+	counted := control.directory.Counted(now, roster, control.tracker.Acknowledged(revision))
+	acceptance := Acceptance{Accepted: roster.Quorum(counted)}
+	for _, known := range roster.Everybody() {
+		if !counted.Has(known.Name) {
+			acceptance.Missing = append(acceptance.Missing, known.Name)
+		}
+	}
+	acceptance.InForce = acceptance.Accepted && len(acceptance.Missing) == 0
+	return acceptance
+}
--- a/io/proc/capacity_test.go
+++ b/io/proc/capacity_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -190,8 +191,7 @@
 			began := time.Now()
 			fleet.declareAdapters(b, adapters)
 			b.ReportMetric(time.Since(began).Seconds(), "declare_s")
-			began = time.Now()
-			fleet.hosts[2].signal(15)
+			fleet.hosts[2].signal(syscall.SIGTERM)
 			<-fleet.hosts[2].ended
 			began = time.Now()
 			fleet.hosts[2].restart(b)
--- a/io/proc/faults_test.go
+++ b/io/proc/faults_test.go
@@ -251,6 +251,43 @@
 		}
 	}
 	is.Equal(engineStats(t, fleet.engines[0]).Completions, before)
+
+	_, code = ctl(t, fleet.hosts[1].operators, "drain", "--undo", "engine-1")
+	is.Equal(code, 0)
+	is.NoErr(postJSON("http://"+fleet.table+fake.PathFault, fake.TableFault{Leaving: []string{"engine-2"}}, nil))
+	time.Sleep(4 * time.Second)
+	before = engineStats(t, fleet.engines[1]).Completions
+	for _, host := range fleet.hosts {
+		for number := range 4 {
+			is.True(send(host, "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", number), 1)).whole())
+		}
+	}
+	is.Equal(engineStats(t, fleet.engines[1]).Completions, before) // the platform's list drains as well
+}
+
+// A caller that reads slowly gets the whole answer, and holds nobody else up.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, fleetOptions{hosts: 1, engines: 1, engineFlags: []string{"--step-time", "1ms", "--step-growth", "0"}})
+	request, err := http.NewRequest(http.MethodPost, "http://"+fleet.hosts[0].callers+"/v1/completions", strings.NewReader(completionBody("shop/a1", 4000)))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+fleet.key)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body := strings.Builder{}
+	part := make([]byte, 16<<10)
+	for {
+		count, err := response.Body.Read(part)
+		body.Write(part[:count])
+		if err != nil {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.True(send(fleet.hosts[0], "/v1/completions", fleet.key, completionBody("shop/a2", 1)).whole())
+	}
+	is.True(own(body.String(), "hello", 4000))
 }
 
 // All daemons are restarted one after the other under load: no request is cut, and none is refused.
--- a/io/proc/keys_test.go
+++ b/io/proc/keys_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -177,5 +176,4 @@
 	<-cut.ended
 	is.True(strings.HasSuffix(cut.body, "data: [DONE]\n\n"))
 	is.Equal(cut.events.Load(), int64(500))
-	fmt.Fprintln(t.Output(), "the held stream was whole")
 }
--- a/io/proc/orders_test.go
+++ b/io/proc/orders_test.go
@@ -103,7 +103,6 @@
 		}
 		placer.tableFault(fake.TableFault{})
 		for _, key := range keys {
-			key := key
 			await(t, 30*time.Second, "an answer to "+key, func() bool {
 				got := placer.place(placer.fleet.hosts[0], key)
 				return got.status == http.StatusCreated || got.refusal.Code == "outcome_unknown"
