--- a/io/proc/harness_test.go
+++ b/io/proc/harness_test.go
@@ -124,11 +124,11 @@
 }
 
 // standIn starts a stand-in and returns its address.
-func standIn(t testing.TB, args ...string) (*process, string) {
+func standIn(t testing.TB, args ...string) string {
 	t.Helper()
 	process := start(t, "lentildev", args...)
 	line := process.line("listening on ")
-	return process, strings.TrimPrefix(line, "listening on ")
+	return strings.TrimPrefix(line, "listening on ")
 }
 
 // cutter passes connections on to an address, and cuts those of some sources.
@@ -253,15 +253,15 @@
 func newFleet(t testing.TB, options fleetOptions) *fleet {
 	t.Helper()
 	fleet := &fleet{t: t}
-	_, fleet.table = standIn(t, "table")
-	_, fleet.weights = standIn(t, "weights", "--full-speed", "16")
+	fleet.table = standIn(t, "table")
+	fleet.weights = standIn(t, "weights", "--full-speed", "16")
 	fleet.slots = cmp.Or(options.slots, 4)
 	for range options.engines {
 		flags := append([]string{"engine", "--weights", fleet.weights, "--slots", strconv.Itoa(fleet.slots)}, options.engineFlags...)
-		_, address := standIn(t, flags...)
+		address := standIn(t, flags...)
 		fleet.engines = append(fleet.engines, address)
 	}
-	_, fleet.service = standIn(t, "service")
+	fleet.service = standIn(t, "service")
 	for number := range options.hosts {
 		fleet.hosts = append(fleet.hosts, fleet.newHost(fmt.Sprintf("host-%d", number+1)))
 	}
--- a/io/proc/path_test.go
+++ b/io/proc/path_test.go
@@ -157,7 +157,7 @@
 	} {
 		is.True(strings.Contains(output, fault)) // each fault is listed with file and line
 	}
-	_, table := standIn(t, "table")
+	table := standIn(t, "table")
 	is.NoErr(os.WriteFile(path, []byte("[host]\nname = a\ndata_centre = d\n[listen]\ncallers = "+table+"\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n[platform]\ntable = "+table+"\n"), 0o600))
 	taken := start(t, "lentild", "--config", path)
 	<-taken.ended
