Loans and permits: fewer messages, and burst stays with the rate that accrues in it

Cause: a lender gave its whole burst away and kept a rate that had nothing to accrue in (5594 tokens lost in 60 s with requests moving each second, over the rate); borrowers asked all lenders for small additions at each exchange; owners renewed each permit each second. Change: a lender keeps burst in proportion to the rate that it keeps; a borrower asks once its demand exceeds what it holds, for half as much again, and only as many lenders as have it; permits are renewed 3 s before their end, and unused ones are not reported.

--- a/core/limit/bank.go
+++ b/core/limit/bank.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,6 +9,8 @@
 const (
 	// demandReserve is how much more than its recent demand a host keeps.
 	demandReserve = 1.2
+	// demandAhead is how much more than its recent demand a borrower asks for.
+	demandAhead = 1.5
 	// extendBefore is how long before its end a borrower asks to extend a loan.
 	extendBefore = LoanDuration / 2
 	// returnBefore is how long before its end an unextended loan is given back.
@@ -15,7 +18,7 @@
 	// reserveTime is the time of its recent demand for which a lender keeps tokens.
 	reserveTime = 200 * time.Millisecond
 	// minLoanPart is the smallest part of a limit that is worth a loan by itself.
-	minLoanPart = 0.002
+	minLoanPart = 0.01
 )
 
 // Outcome is the result of a charge.
@@ -78,10 +81,12 @@
 
 // Bank holds one host's shares of all workspaces. It is not safe for concurrent use.
 type Bank struct {
-	host     string
-	opens    time.Time
-	opening  bool
-	nextID   int64
+	host    string
+	opens   time.Time
+	opening bool
+	nextID  int64
+	// turn is the lender that was asked last.
+	turn     int
 	limits   map[string]Entitlement
 	accounts map[string]*account
 }
@@ -209,8 +214,10 @@
 		account.settle(now)
 		account.demand.decay(now)
 		rate, burst := account.wants(bank.limits[workspace])
-		for _, lender := range lenders(workspace) {
-			if lender == bank.host || (rate == 0 && burst == 0 && !account.extends(now, lender)) {
+		homes := lenders(workspace)
+		chosen := bank.choose(homes, rate, account.waiting > account.level, bank.limits[workspace])
+		for _, lender := range homes {
+			if lender == bank.host || (!chosen[lender] && !account.extends(now, lender)) {
 				continue
 			}
 			asks = append(asks, Ask{
@@ -222,16 +229,35 @@
 	return asks
 }
 
+// choose returns the lenders to ask for more: all for a request that waits, otherwise as many as have the rate between
+// them and one more, others each time.
+func (bank *Bank) choose(homes []string, rate float64, urgent bool, limit Entitlement) map[string]bool {
+	chosen := map[string]bool{}
+	if rate <= 0 && !urgent {
+		return chosen
+	}
+	count := len(homes)
+	if !urgent {
+		count = min(count, int(math.Ceil(rate*float64(len(homes))/limit.Rate))+1)
+	}
+	for range count {
+		bank.turn++
+		chosen[homes[bank.turn%len(homes)]] = true
+	}
+	return chosen
+}
+
 // wants returns what the account lacks for its recent demand, or for a request that waits.
 func (account *account) wants(limit Entitlement) (rate, burst float64) {
 	held := account.effective()
-	rate = min(account.demand.rate*demandReserve, limit.Rate) - held.rate
 	if account.waiting > account.level {
 		return max(0, limit.Rate-held.rate), max(0, limit.Burst-held.burst)
 	}
-	if rate <= limit.Rate*minLoanPart {
+	if account.demand.rate <= held.rate || held.rate >= limit.Rate*(1-minLoanPart) {
 		return 0, 0
 	}
+	// More than is needed now, so that the next fluctuation needs no message.
+	rate = min(account.demand.rate*demandAhead, limit.Rate) - held.rate
 	return rate, max(0, limit.Burst-held.burst)
 }
 
@@ -294,7 +320,12 @@
 	needed := account.demand.rate * demandReserve
 	added.rate = min(max(0, ask.Rate), max(0, own.rate-needed))
 	kept := needed * reserveTime.Seconds()
-	added.burst = min(max(0, ask.Burst), max(0, own.burst-kept))
+	room := kept
+	if own.rate > 0 {
+		// A rate that stays here needs burst to accrue in.
+		room = max(kept, own.burst*(own.rate-added.rate)/own.rate)
+	}
+	added.burst = min(max(0, ask.Burst), max(0, own.burst-room))
 	level = min(max(0, account.level-kept), added.burst)
 	return added, level
 }
--- a/core/place/holder.go
+++ b/core/place/holder.go
@@ -35,6 +35,8 @@
 	requests int
 	lastUse  time.Time
 	revoked  bool
+	// reported is the number of requests in flight in the last report.
+	reported int
 }
 
 // Holder keeps the permits of one host. It is not safe for concurrent use.
@@ -189,7 +191,8 @@
 	}
 }
 
-// Reports returns what to report to the owners, and resets the counts. Permits that ended unused are returned.
+// Reports returns what to report to the owners, and resets the counts. Permits that ended unused are returned; those
+// that stayed unused since the last report are left out.
 func (holder *Holder) Reports(now time.Time) []Use {
 	for instance, grave := range holder.revoked {
 		if now.After(grave.until) {
@@ -203,9 +206,13 @@
 			holder.drop(instance)
 			continue
 		}
+		if held.requests == 0 && held.inFlight == held.reported && held.inFlight == 0 {
+			continue
+		}
 		uses = append(uses, Use{
 			Instance: instance, Engine: held.permit.Engine, InFlight: held.inFlight, Requests: held.requests,
 		})
+		held.reported = held.inFlight
 		held.requests = 0
 	}
 	for _, instance := range value.Sorted(holder.returned) {
--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -347,7 +347,8 @@
 			continue
 		}
 		held.inFlight = use.InFlight
-		if entry.stage == stageReady && (use.Requests > 0 || use.InFlight > 0) {
+		used := use.Requests > 0 || use.InFlight > 0
+		if entry.stage == stageReady && used && held.until.Sub(now) < RenewBefore {
 			renewed = append(renewed, manager.grantAll(now, host, entry.model)...)
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -17,6 +17,8 @@
 const (
 	// PermitDuration is how long new requests may be sent under a permit.
 	PermitDuration = 5 * time.Second
+	// RenewBefore is how long before its end a permit in use is renewed.
+	RenewBefore = PermitDuration * 3 / 5
 	// RequestDeadline is the longest that a request may run once it was sent.
 	RequestDeadline = 60 * time.Second
 	// HoldMargin covers the difference between two hosts' clocks over a permit.
