Freshness: a majority is worked out only if it could prove more than what is known

Cause: each answer sorted all answers and counted members; at 360 hosts 1,010,809 ns for an answer and its proof. After: 6,797 ns (45 hosts: 30,828 before, 1,786 after; go test ./core/fresh -bench Hear).

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -115,12 +115,16 @@
 
 // ProvenAt returns the latest instant at which the held revision is known to have been the newest accepted one.
 func (tracker *Tracker) ProvenAt() (time.Time, bool) {
-	best, found := tracker.majorityAt()
+	var best time.Time
+	found := false
 	for _, candidate := range tracker.proofs {
 		if candidate.revision <= tracker.held && (!found || candidate.at.After(best)) {
 			best, found = candidate.at, true
 		}
 	}
+	if at, majority := tracker.majorityAfter(best); majority {
+		return at, true
+	}
 	return best, found
 }
 
@@ -135,14 +139,18 @@
 	return now.Sub(provenAt) <= Limit
 }
 
-// majorityAt returns the latest instant since which a majority has answered with no newer revision.
-func (tracker *Tracker) majorityAt() (time.Time, bool) {
-	instants := make([]heard, 0, len(tracker.answers))
+// majorityAfter returns the latest instant since which a majority has answered with no newer revision, if it lies
+// after a known proof.
+func (tracker *Tracker) majorityAfter(known time.Time) (time.Time, bool) {
+	var instants []heard
 	for _, entry := range tracker.answers {
-		if entry.answer.Ready && entry.answer.Revision <= tracker.held && entry.answer.Host != tracker.host {
+		if entry.sentAt.After(known) && entry.answer.Ready && entry.answer.Revision <= tracker.held && entry.answer.Host != tracker.host {
 			instants = append(instants, entry)
 		}
 	}
+	if 2*(len(instants)+1) <= len(tracker.roster.Members) {
+		return time.Time{}, false
+	}
 	sort.Slice(instants, func(left, right int) bool { return instants[left].sentAt.After(instants[right].sentAt) })
 	hosts := value.NewSet[string]()
 	if tracker.roster.Has(tracker.host) {
