--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -136,17 +136,17 @@
 }
 
 func (stand *Engine) handleFault(writer http.ResponseWriter, request *http.Request) {
-	var fault EngineFault
-	if !readJSON(writer, request, &fault) {
-		return
-	}
+	takeFaults(writer, request, stand.SetFault)
+}
+
+// SetFault replaces the faults, and restarts the engine if they say so.
+func (stand *Engine) SetFault(fault EngineFault) {
 	stand.mutex.Lock()
 	defer stand.mutex.Unlock()
 	if fault.Restart {
 		stand.restart()
 	}
 	stand.fault = fault
-	writeJSON(writer, http.StatusOK, fault)
 }
 
 func (stand *Engine) handleStats(writer http.ResponseWriter, _ *http.Request) {
--- a/io/fake/fake.go
+++ b/io/fake/fake.go
@@ -74,6 +74,15 @@
 	_ = json.NewEncoder(writer).Encode(body)
 }
 
+// takeFaults answers a request that replaces the faults of a stand-in.
+func takeFaults[T any](writer http.ResponseWriter, request *http.Request, set func(fault T)) {
+	var fault T
+	if readJSON(writer, request, &fault) {
+		set(fault)
+		writeJSON(writer, http.StatusOK, fault)
+	}
+}
+
 // cut ends the connection of a request without an answer.
 func cut(writer http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(writer).Hijack()
--- a/io/fake/service.go
+++ b/io/fake/service.go
@@ -41,11 +41,7 @@
 func (stand *Service) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	switch request.URL.Path {
 	case PathFault:
-		var fault ServiceFault
-		if readJSON(writer, request, &fault) {
-			stand.SetFault(fault)
-			writeJSON(writer, http.StatusOK, fault)
-		}
+		takeFaults(writer, request, stand.SetFault)
 	case PathStats:
 		writeJSON(writer, http.StatusOK, stand.Stats())
 	default:
--- a/io/fake/table.go
+++ b/io/fake/table.go
@@ -89,11 +89,7 @@
 }
 
 func (stand *Table) handleFault(writer http.ResponseWriter, request *http.Request) {
-	var fault TableFault
-	if readJSON(writer, request, &fault) {
-		stand.SetFault(fault)
-		writeJSON(writer, http.StatusOK, fault)
-	}
+	takeFaults(writer, request, stand.SetFault)
 }
 
 func (stand *Table) handleStats(writer http.ResponseWriter, _ *http.Request) {
--- a/io/fake/weights.go
+++ b/io/fake/weights.go
@@ -50,11 +50,7 @@
 func (stand *Weights) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	switch request.URL.Path {
 	case PathFault:
-		var fault WeightsFault
-		if readJSON(writer, request, &fault) {
-			stand.SetFault(fault)
-			writeJSON(writer, http.StatusOK, fault)
-		}
+		takeFaults(writer, request, stand.SetFault)
 	case PathStats:
 		writeJSON(writer, http.StatusOK, stand.Stats())
 	default:
--- a/io/proc/capacity_test.go
+++ b/io/proc/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -105,6 +106,27 @@
 	fleet.report(b, before, after)
 }
 
+// load measures while callers send one request after another, and returns how many succeeded.
+func (fleet *fleet) load(b *testing.B, callers int, pause time.Duration, request func(caller, number int) bool) int {
+	b.Helper()
+	var succeeded atomic.Int64
+	fleet.measure(b, func(stop <-chan struct{}) {
+		each(callers, func(caller int) {
+			for number := 0; ; number++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(pause):
+				}
+				if request(caller, number) {
+					succeeded.Add(1)
+				}
+			}
+		})
+	})
+	return int(succeeded.Load())
+}
+
 func idle(<-chan struct{}) {}
 
 func hostCounts() []int { return []int{5, 15, 45} }
@@ -236,27 +258,9 @@
 				hosts: 2, engines: 3, engineFlags: []string{"--step-time", "10ms", "--step-growth", "0"}, limit: "rate_tokens_per_second = 1e7\nburst_tokens = 1e8\n",
 			})
 			time.Sleep(5 * time.Second)
-			done := make(chan int, callers)
-			fleet.measure(b, func(stop <-chan struct{}) {
-				each(callers, func(number int) {
-					count := 0
-					for {
-						select {
-						case <-stop:
-							done <- count
-							return
-						default:
-						}
-						if send(fleet.hosts[0], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", number%6), 200)).whole() {
-							count++
-						}
-					}
-				})
+			requests := fleet.load(b, callers, 0, func(caller, _ int) bool {
+				return send(fleet.hosts[0], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", caller%6), 200)).whole()
 			})
-			requests := 0
-			for range callers {
-				requests += <-done
-			}
 			b.ReportMetric(float64(requests)/measureTime.Seconds(), "requests/s")
 			b.ReportMetric(float64(requests)*200/measureTime.Seconds(), "tokens/s")
 		})
@@ -268,28 +272,10 @@
 	for _, callers := range []int{1, 16, 64} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
 			fleet := newFleet(b, fleetOptions{hosts: 1, engines: 1})
-			done := make(chan int, callers)
-			fleet.measure(b, func(stop <-chan struct{}) {
-				each(callers, func(number int) {
-					count := 0
-					for {
-						select {
-						case <-stop:
-							done <- count
-							return
-						default:
-						}
-						key := fmt.Sprintf("%d/%d", number, count)
-						if send(fleet.hosts[0], "/services/orders/new", fleet.key, "{}", "Idempotency-Key", key).status == 201 {
-							count++
-						}
-					}
-				})
+			orders := fleet.load(b, callers, 0, func(caller, number int) bool {
+				key := fmt.Sprintf("%d/%d", caller, number)
+				return send(fleet.hosts[0], "/services/orders/new", fleet.key, "{}", "Idempotency-Key", key).status == http.StatusCreated
 			})
-			orders := 0
-			for range callers {
-				orders += <-done
-			}
 			b.ReportMetric(float64(orders)/measureTime.Seconds(), "orders/s")
 		})
 	}
@@ -309,22 +295,8 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 			}
-			var whole atomic.Int64
-			fleet.measure(b, func(stop <-chan struct{}) {
-				each(8, func(caller int) {
-					for number := caller; ; number += 8 {
-						select {
-						case <-stop:
-							return
-						case <-time.After(50 * time.Millisecond):
-							if use(number % adapters) {
-								whole.Add(1)
-							}
-						}
-					}
-				})
-			})
-			b.ReportMetric(float64(whole.Load())/measureTime.Seconds(), "requests/s")
+			whole := fleet.load(b, 8, 50*time.Millisecond, func(caller, number int) bool { return use((caller + 8*number) % adapters) })
+			b.ReportMetric(float64(whole)/measureTime.Seconds(), "requests/s")
 		})
 	}
 }
@@ -350,31 +322,12 @@
 			for number := range keys {
 				keys[number], _ = fleet.grant(fmt.Sprintf("w%d", number))
 			}
-			answered := make(chan [2]int, workspaces)
-			fleet.measure(b, func(stop <-chan struct{}) {
-				each(workspaces, func(number int) {
-					whole, sent := 0, 0
-					for {
-						select {
-						case <-stop:
-							answered <- [2]int{whole, sent}
-							return
-						case <-time.After(100 * time.Millisecond):
-						}
-						sent++
-						if send(fleet.hosts[number%9], "/v1/completions", keys[number], completionBody(fmt.Sprintf("w%d/a", number), 4)).whole() {
-							whole++
-						}
-					}
-				})
+			var sent atomic.Int64
+			whole := fleet.load(b, workspaces, 100*time.Millisecond, func(caller, _ int) bool {
+				sent.Add(1)
+				return send(fleet.hosts[caller%9], "/v1/completions", keys[caller], completionBody(fmt.Sprintf("w%d/a", caller), 4)).whole()
 			})
-			whole, sent := 0, 0
-			for range workspaces {
-				counts := <-answered
-				whole += counts[0]
-				sent += counts[1]
-			}
-			b.ReportMetric(100*float64(whole)/float64(sent), "whole_%")
+			b.ReportMetric(100*float64(whole)/float64(sent.Load()), "whole_%")
 		})
 	}
 }
