--- a/core/conf/kinds.go
+++ b/core/conf/kinds.go
@@ -3,6 +3,7 @@
 package conf
 
 import (
+	"slices"
 	"time"
 
 	"lentilproxy/core/value"
@@ -186,6 +187,21 @@
 	return all
 }
 
+// Member returns a member or previous member by its name.
+func (roster *Roster) Member(name string) (Member, bool) {
+	for _, member := range roster.Everybody() {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// Others returns everybody but one host.
+func (roster *Roster) Others(name string) []Member {
+	return slices.DeleteFunc(roster.Everybody(), func(member Member) bool { return member.Name == name })
+}
+
 // Quorum says whether the hosts are more than half of the members, and of the previous ones until the roster is
 // settled.
 func (roster *Roster) Quorum(hosts value.Set[string]) bool {
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -119,7 +119,7 @@
 	beat := control.hostRow()
 	version := control.rowVersion
 	control.background(done, func(ctx context.Context) func(time.Time) {
-		result, err := control.node.table.Commit(ctx, lentilproxy.Transaction{
+		_, err := control.node.table.Commit(ctx, lentilproxy.Transaction{
 			Conditions: []lentilproxy.Condition{{Key: key, Version: version}},
 			Writes:     []lentilproxy.Write{{Key: key, Value: mustEncode(beat)}},
 		})
@@ -134,11 +134,11 @@
 		if json.Unmarshal(row.Row(key).Value, &seen) != nil {
 			return nil
 		}
-		return func(time.Time) { control.sawOwnRow(result.Committed, seen, row.Row(key).Version) }
+		return func(time.Time) { control.sawOwnRow(seen, row.Row(key).Version) }
 	})
 }
 
-func (control *control) sawOwnRow(_ bool, seen member.Heartbeat, version int64) {
+func (control *control) sawOwnRow(seen member.Heartbeat, version int64) {
 	if seen.Incarnation > control.incarnation {
 		control.node.log.Info("superseded", "incarnation", control.incarnation, "by", seen.Incarnation)
 		control.node.fail(errSuperseded)
@@ -175,13 +175,7 @@
 }
 
 func (control *control) peers() []conf.Member {
-	var peers []conf.Member
-	for _, known := range control.state.Roster().Everybody() {
-		if known.Name != control.node.Name() {
-			peers = append(peers, known)
-		}
-	}
-	return peers
+	return control.state.Roster().Others(control.node.Name())
 }
 
 // withOwners returns the first peers and the owners of pools, whose failure has to be noticed soon.
@@ -235,7 +229,7 @@
 
 // fetchFromPeer reads missing changes from a peer, since the table may be away, and otherwise from the table.
 func (control *control) fetchFromPeer(now time.Time, host string) {
-	known, found := control.memberNamed(host)
+	known, found := control.state.Roster().Member(host)
 	if !found {
 		control.fetch(now)
 		return
@@ -256,15 +250,6 @@
 	})
 }
 
-func (control *control) memberNamed(name string) (conf.Member, bool) {
-	for _, known := range control.state.Roster().Everybody() {
-		if known.Name == name {
-			return known, true
-		}
-	}
-	return conf.Member{}, false
-}
-
 func (control *control) startPush(now time.Time) {
 	control.pushUntil = now.Add(pushFor)
 	control.push(now, func() {})
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -326,7 +326,7 @@
 }
 
 func (control *control) revoke(owned *ownedPool, host, instance string) {
-	known, found := control.memberNamed(host)
+	known, found := control.state.Roster().Member(host)
 	if !found {
 		return
 	}
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -273,7 +273,7 @@
 // acquire asks the owner of a pool for a permit.
 func (node *Node) acquire(ctx context.Context, state *conf.State, pool string, want place.Want) place.Refusal {
 	owner := state.Owner(pool)
-	known, found := findMember(state, owner.Host)
+	known, found := state.Roster().Member(owner.Host)
 	if !found {
 		return place.RefuseNotOwner
 	}
@@ -318,15 +318,6 @@
 	return ctx, cancel
 }
 
-func findMember(state *conf.State, name string) (conf.Member, bool) {
-	for _, known := range state.Roster().Everybody() {
-		if known.Name == name {
-			return known, true
-		}
-	}
-	return conf.Member{}, false
-}
-
 // Lost reports that an engine does not have an instance, although this host holds a permit for it.
 func (node *Node) Lost(instance string) {
 	node.traffic.mutex.Lock()
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"lentilproxy/core/conf"
 	"lentilproxy/core/guard"
 )
 
@@ -38,12 +37,7 @@
 func (node *Node) askPeers(ctx context.Context, method string, params any) []bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var peers []conf.Member
-	for _, known := range node.View().state.Roster().Everybody() {
-		if known.Name != node.Name() {
-			peers = append(peers, known)
-		}
-	}
+	peers := node.View().state.Roster().Others(node.Name())
 	replies := make(chan bool, len(peers))
 	var group sync.WaitGroup
 	for _, known := range peers {
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -197,7 +197,7 @@
 		byLender[back.Lender] = append(byLender[back.Lender], back)
 	}
 	for lender, batch := range byLender {
-		if known, found := control.memberNamed(lender); found {
+		if known, found := control.state.Roster().Member(lender); found {
 			control.giveBack(known, giveBackParams{Host: control.node.Name(), Returns: batch})
 		}
 	}
@@ -225,7 +225,7 @@
 
 func (control *control) borrow(lender string, asks []limit.Ask) {
 	traffic := control.node.traffic
-	known, found := control.memberNamed(lender)
+	known, found := control.state.Roster().Member(lender)
 	if !found {
 		return
 	}
@@ -305,7 +305,7 @@
 }
 
 func (control *control) report(pool string, uses []place.Use) {
-	known, found := control.memberNamed(control.state.Owner(pool).Host)
+	known, found := control.state.Roster().Member(control.state.Owner(pool).Host)
 	if !found {
 		return
 	}
