Orders that meet another one under way are repeated; places are freed ahead

Cause: an unload of an adapter in use answers 202 and then every order 409 until its runs end; a repeated load is not counted in the sequence. Each 409 cost a report and 0.5 s without orders.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -22,9 +22,18 @@
 	pollFastFor = 100 * time.Millisecond
 	// demandHorizon is the time over which the demand for an adapter is averaged.
 	demandHorizon = 12 * time.Second
-	// quietBefore is how long an adapter must not have been asked for before it makes room: requests that were sent for
-	// it may still be on their way.
-	quietBefore = 300 * time.Millisecond
+	// quietBefore is how long an adapter should not have been asked for before it makes room: runs of it may last that
+	// long, and while an unload waits for them, the server takes no other order.
+	quietBefore = 900 * time.Millisecond
+	// noticeTime is the time between the announcement that an adapter makes room and its unload, in which the other
+	// hosts learn of it.
+	noticeTime = 350 * time.Millisecond
+	// busyBackoff is the wait after an order that met another one under way.
+	busyBackoff = 40 * time.Millisecond
+	// maxBusy is the number of such answers in a row after which the sequence is in doubt.
+	maxBusy = 25
+	// reservePart is the number of places for each one that is kept free for the next load.
+	reservePart = 9
 	// wantLifetime is how long a load that was asked for is worth its place in the queue.
 	wantLifetime = 3 * time.Second
 	// resyncDelay is the time between a failed order and the report that tells its effect, which lags.
@@ -38,6 +47,8 @@
 	// loading adapters take a place but cannot be used.
 	loading
 	ready
+	// retiring adapters are still loaded, but no longer announced.
+	retiring
 	// leaving adapters wait for their runs to end.
 	leaving
 )
@@ -55,6 +66,8 @@
 	demandAt time.Time
 	// replacing says that a newer version is on its way.
 	replacing bool
+	// retiredAt is when the adapter was announced to make room.
+	retiredAt time.Time
 }
 
 func (entry *entry) demandNow(now time.Time) float64 {
@@ -82,6 +95,13 @@
 	known    bool
 	resyncAt time.Time
 	entries  map[string]*entry
+	// repeated says that the order under way asks for what was ordered before, which a server does not count again.
+	repeated bool
+	// before is the state of the entry that the order under way concerns, from before it was sent.
+	before entry
+	// busy counts orders in a row that met another one under way; none is sent before busyUntil.
+	busy      int
+	busyUntil time.Time
 	// versions are the newest announced versions of adapters.
 	versions map[string]int64
 }
@@ -208,8 +228,12 @@
 func (keeper *Keeper) Want(now time.Time, adapter string, demand float64) Wish {
 	known := keeper.entry(now, adapter)
 	known.use(now, demand)
-	if known.phase == wanted {
+	switch known.phase {
+	case wanted:
 		known.wantedAt = now
+	case retiring:
+		known.phase = ready
+	default:
 	}
 	return keeper.Check(now, adapter)
 }
@@ -232,7 +256,7 @@
 // makingRoom says whether an adapter is on its way out.
 func (keeper *Keeper) makingRoom() bool {
 	for _, known := range keeper.entries {
-		if known.phase == leaving {
+		if known.phase == leaving || known.phase == retiring {
 			return true
 		}
 	}
@@ -260,7 +284,8 @@
 	return count
 }
 
-// victim returns the adapter that is least likely to be asked for again and is not in use, or "".
+// victim returns the adapter that is least likely to be asked for again, or "". One that was used lately is chosen
+// only if there is no other and room is needed at once.
 func (keeper *Keeper) victim(now time.Time) string {
 	best, least := "", math.Inf(1)
 	for name, known := range keeper.entries {
@@ -274,6 +299,29 @@
 	return best
 }
 
+// Retire announces that adapters make room, so that the next load finds a free place. It says whether one was found.
+func (keeper *Keeper) Retire(now time.Time) bool {
+	if !keeper.synced || !keeper.hasModel {
+		return false
+	}
+	free := keeper.places - keeper.taken()
+	for _, known := range keeper.entries {
+		if known.phase == retiring || known.phase == leaving {
+			free++
+		}
+	}
+	retired := false
+	for ; free < keeper.places/reservePart; free++ {
+		name := keeper.victim(now)
+		if name == "" {
+			break
+		}
+		keeper.entries[name].phase, keeper.entries[name].retiredAt = retiring, now
+		retired = true
+	}
+	return retired
+}
+
 // Ready returns the adapters that can be used, with their versions.
 func (keeper *Keeper) Ready() map[string]int64 {
 	held := map[string]int64{}
@@ -287,13 +335,15 @@
 
 // Next returns the next order to send, if there is one. Every order has to be answered before the next.
 func (keeper *Keeper) Next(now time.Time, mayLoadModel bool) (lentilproxy.Order, bool) {
-	if !keeper.synced {
+	if !keeper.synced || now.Before(keeper.busyUntil) {
 		return lentilproxy.Order{}, false
 	}
 	if !keeper.hasModel {
 		return keeper.nextModel(now, mayLoadModel)
 	}
-	for _, choose := range []func(time.Time) (lentilproxy.Order, bool){keeper.nextPoll, keeper.nextReplacement, keeper.nextLoad} {
+	for _, choose := range []func(time.Time) (lentilproxy.Order, bool){
+		keeper.nextPoll, keeper.nextReplacement, keeper.nextLoad, keeper.nextUnload,
+	} {
 		if order, found := choose(now); found {
 			return order, true
 		}
@@ -373,6 +423,10 @@
 	if keeper.taken() < keeper.places {
 		return keeper.order(lentilproxy.Load, best, keeper.versions[best]), true
 	}
+	// There was no time to announce it.
+	if name := keeper.oldestRetiring(); name != "" {
+		return keeper.order(lentilproxy.Unload, name, 0), true
+	}
 	if keeper.makingRoom() {
 		return lentilproxy.Order{}, false
 	}
@@ -382,6 +436,26 @@
 	return lentilproxy.Order{}, false
 }
 
+// nextUnload unloads an adapter whose announcement everybody has got.
+func (keeper *Keeper) nextUnload(now time.Time) (lentilproxy.Order, bool) {
+	name := keeper.oldestRetiring()
+	if name == "" || now.Sub(keeper.entries[name].retiredAt) < noticeTime {
+		return lentilproxy.Order{}, false
+	}
+	return keeper.order(lentilproxy.Unload, name, 0), true
+}
+
+func (keeper *Keeper) oldestRetiring() string {
+	oldest := ""
+	for _, name := range keeper.names() {
+		known := keeper.entries[name]
+		if known.phase == retiring && (oldest == "" || known.retiredAt.Before(keeper.entries[oldest].retiredAt)) {
+			oldest = name
+		}
+	}
+	return oldest
+}
+
 func (keeper *Keeper) names() []string {
 	names := make([]string, 0, len(keeper.entries))
 	for name := range keeper.entries {
@@ -394,26 +468,39 @@
 // Sent marks an order as under way. It is called before the order is sent, since it may take effect from then on.
 func (keeper *Keeper) Sent(now time.Time, order lentilproxy.Order) {
 	if order.Ref.Adapter == "" {
+		keeper.before = entry{}
+		keeper.repeated = !keeper.modelOrderAt.IsZero()
 		keeper.modelOrderAt = now
 		return
 	}
 	known := keeper.entry(now, order.Ref.Adapter)
+	keeper.before = *known
 	known.polledAt = now
+	keeper.repeated = false
 	switch {
-	case order.Kind == lentilproxy.Unload && known.phase == ready:
+	case order.Kind == lentilproxy.Unload && (known.phase == ready || known.phase == retiring):
 		known.phase, known.orderAt = leaving, now
 	case order.Kind == lentilproxy.Load && known.phase == wanted:
 		known.phase, known.orderAt = loading, now
 	case order.Kind == lentilproxy.Load && known.phase == ready:
 		known.replacing, known.orderAt = true, now
+	default:
+		keeper.repeated = true
 	}
 }
 
 // Answered takes in the outcome of an order.
 func (keeper *Keeper) Answered(now time.Time, order lentilproxy.Order, outcome lentilproxy.OrderOutcome) {
+	if outcome != lentilproxy.OrderConflict {
+		keeper.busy = 0
+	}
 	switch outcome {
+	case lentilproxy.OrderConflict:
+		keeper.conflict(now, order)
 	case lentilproxy.OrderAccepted:
-		keeper.sequence++
+		if !keeper.repeated {
+			keeper.sequence++
+		}
 	case lentilproxy.OrderHolds:
 		keeper.holds(now, order)
 	default:
@@ -422,6 +509,26 @@
 	}
 }
 
+// conflict takes in that an order met another one under way, or that its sequence was wrong, which look the same.
+func (keeper *Keeper) conflict(now time.Time, order lentilproxy.Order) {
+	keeper.busy++
+	if keeper.busy >= maxBusy {
+		keeper.busy = 0
+		keeper.Unanswered(now)
+		return
+	}
+	keeper.busyUntil = now.Add(busyBackoff)
+	if order.Ref.Adapter == "" {
+		if !keeper.repeated {
+			keeper.modelOrderAt = time.Time{}
+		}
+		return
+	}
+	known := keeper.entry(now, order.Ref.Adapter)
+	// Requests may have asked for it meanwhile.
+	known.phase, known.replacing, known.orderAt = keeper.before.phase, keeper.before.replacing, keeper.before.orderAt
+}
+
 func (keeper *Keeper) holds(now time.Time, order lentilproxy.Order) {
 	if order.Ref.Adapter == "" {
 		keeper.hasModel, keeper.modelOrderAt = true, time.Time{}
@@ -429,8 +536,10 @@
 	}
 	if order.Kind == lentilproxy.Unload {
 		delete(keeper.entries, order.Ref.Adapter)
-		// An unload that is done at once counts as an order that was accepted.
-		keeper.sequence++
+		if !keeper.repeated {
+			// An unload that is done at once counts as an order that was accepted.
+			keeper.sequence++
+		}
 		return
 	}
 	known := keeper.entry(now, order.Ref.Adapter)
--- a/io/coord/keeper.go
+++ b/io/coord/keeper.go
@@ -176,6 +176,9 @@
 	if !holds || keeper.server.Draining {
 		return step{wait: keeperIdle}
 	}
+	if keeper.slots.Retire(now) {
+		control.publishHeld(keeper)
+	}
 	order, found := keeper.slots.Next(now, control.mayLoadModel(now, keeper.server))
 	if !found {
 		if keeper.slots.Active() {
@@ -221,7 +224,9 @@
 			"sequence", order.Sequence, "token", order.Token, "error", err.Error())
 	} else {
 		keeper.slots.Answered(now, order, outcome)
-		if outcome != lentilproxy.OrderHolds && outcome != lentilproxy.OrderAccepted {
+		if outcome == lentilproxy.OrderConflict {
+			coordinator.metrics.Counter("orders_conflicted").Inc(1)
+		} else if outcome != lentilproxy.OrderHolds && outcome != lentilproxy.OrderAccepted {
 			coordinator.metrics.Counter("orders_refused").Inc(1)
 			coordinator.log.Info("order refused", "server", keeper.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
 				"sequence", order.Sequence, "token", order.Token, "outcome", outcome)
@@ -252,7 +257,7 @@
 
 // publishHeld tells the host's own traffic what a server holds; peers learn it with the next digest.
 func (control *control) publishHeld(keeper *keeper) {
-	held := sched.Held{Adapters: keeper.slots.Ready(), Orderable: keeper.slots.Synced()}
+	held := sched.Held{Adapters: keeper.slots.Ready(), Orderable: keeper.slots.Known()}
 	if keeper.slots.HasModel() || !keeper.slots.Known() {
 		held.Model = keeper.slots.Model()
 	}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -224,7 +224,8 @@
 	now := clock.Now()
 	call.log(server, "not executed", http.StatusText(response.Status()))
 	call.service.coordinator.Traffic().Learn(func(table *sched.Table) {
-		if response.Status() == http.StatusMisdirectedRequest && call.ask.Model.Adapter != "" {
+		if call.ask.Model.Adapter != "" {
+			// Its holder is asked before the next request is sent there.
 			table.Evicted(server.ID, call.ask.Model.Adapter)
 			return
 		}
