--- a/core/limit/bank.go
+++ b/core/limit/bank.go
@@ -210,6 +210,25 @@
 	account.refund(receipt, unused)
 }
 
+// Standing is what a host has of a workspace's limit.
+type Standing struct {
+	// Level is the number of tokens at hand; Rate is in tokens per second.
+	Level float64
+	Rate  float64
+	// Limit is the rate of the workspace over all hosts.
+	Limit float64
+	// Loans is the number of loans that the host has taken.
+	Loans int
+}
+
+// Standing returns what the host has of a workspace's limit.
+func (bank *Bank) Standing(now time.Time, workspace string) Standing {
+	account := bank.account(now, workspace)
+	return Standing{
+		Level: account.level, Rate: account.effective().rate, Limit: bank.limits[workspace].Rate, Loans: len(account.borrowed),
+	}
+}
+
 // Level returns the tokens available to a workspace on this host.
 func (bank *Bank) Level(now time.Time, workspace string) float64 {
 	return bank.account(now, workspace).level
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -370,6 +370,7 @@
 // Run is a request under way on a server. It has to be ended once.
 type Run struct {
 	server  string
+	adapter string
 	born    int64
 	usage   Usage
 	backlog int64
@@ -377,10 +378,16 @@
 	first   bool
 }
 
+// Server returns the server of the run.
+func (run *Run) Server() string { return run.server }
+
+// Adapter returns the adapter that the run uses, or "".
+func (run *Run) Adapter() string { return run.adapter }
+
 // Start counts a request that is about to be sent.
 func (table *Table) Start(now time.Time, entry spec.Server, job Job) *Run {
 	run := &Run{
-		server: entry.ID, born: entry.Born, sentAt: now,
+		server: entry.ID, adapter: job.Ref.Adapter, born: entry.Born, sentAt: now,
 		usage: Usage{Running: 1, Backlog: job.Prompt, Tokens: job.Prompt + job.Output},
 	}
 	if known := table.running(run); known != nil {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -22,9 +22,11 @@
 	pollFastFor = 100 * time.Millisecond
 	// demandHorizon is the time over which the demand for an adapter is averaged.
 	demandHorizon = 12 * time.Second
-	// quietBefore is how long an adapter should not have been asked for before it makes room: runs of it may last that
-	// long, and while an unload waits for them, the server takes no other order.
-	quietBefore = 900 * time.Millisecond
+	// quietBefore is how long an adapter must not have been asked for before it makes room: hosts tell each other of
+	// their requests with a delay, and while an unload waits for its runs, the server takes no other order.
+	quietBefore = 450 * time.Millisecond
+	// runningLifetime is how long a host's count of its running requests counts.
+	runningLifetime = 1500 * time.Millisecond
 	// noticeTime is the time between the announcement that an adapter makes room and its unload, in which the other
 	// hosts learn of it.
 	noticeTime = 350 * time.Millisecond
@@ -32,6 +34,10 @@
 	busyBackoff = 40 * time.Millisecond
 	// maxBusy is the number of such answers in a row after which the sequence is in doubt.
 	maxBusy = 25
+	// maxBlocked is how long a server may take no orders before wishes go to another one.
+	maxBlocked = 200 * time.Millisecond
+	// maxWanted is the number of wishes that may wait at one server.
+	maxWanted = 6
 	// reservePart is the number of places for each one that is kept free for the next load.
 	reservePart = 9
 	// wantLifetime is how long a load that was asked for is worth its place in the queue.
@@ -80,6 +86,12 @@
 	entry.lastUse = now
 }
 
+// hostRuns counts the running requests of one host by adapter.
+type hostRuns struct {
+	counts map[string]int
+	at     time.Time
+}
+
 // Keeper decides for one life of one server. It is not safe for concurrent use.
 type Keeper struct {
 	places int
@@ -101,14 +113,17 @@
 	before entry
 	// busy counts orders in a row that met another one under way; none is sent before busyUntil.
 	busy      int
+	busySince time.Time
 	busyUntil time.Time
+	// running holds the requests of each host for adapters of this server.
+	running map[string]hostRuns
 	// versions are the newest announced versions of adapters.
 	versions map[string]int64
 }
 
 // New returns the keeper of a server of which nothing is known yet. A report is due at an instant.
 func New(model string, places int, reportAt time.Time) *Keeper {
-	return &Keeper{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}}
+	return &Keeper{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}}
 }
 
 // Model returns the base model of the server.
@@ -126,6 +141,43 @@
 // ModelOrdered says whether the base model is on its way.
 func (keeper *Keeper) ModelOrdered() bool { return !keeper.modelOrderAt.IsZero() }
 
+// Census counts the adapters of a server by what happens to them.
+type Census struct {
+	Places   int
+	Ready    int
+	InUse    int
+	Loading  int
+	Wanted   int
+	Leaving  int
+	Busy     bool
+	Synced   bool
+	Sequence int64
+}
+
+// Census returns the counts at an instant.
+func (keeper *Keeper) Census(now time.Time) Census {
+	census := Census{Places: keeper.places, Busy: now.Before(keeper.busyUntil), Synced: keeper.synced, Sequence: keeper.sequence}
+	for name, known := range keeper.entries {
+		switch known.phase {
+		case ready:
+			census.Ready++
+			if keeper.inUse(now, name) {
+				census.InUse++
+			}
+			if known.replacing {
+				census.Loading++
+			}
+		case loading:
+			census.Loading++
+		case wanted:
+			census.Wanted++
+		case retiring, leaving:
+			census.Leaving++
+		}
+	}
+	return census
+}
+
 // Active says whether an order may follow without another wish.
 func (keeper *Keeper) Active() bool {
 	if !keeper.hasModel || !keeper.synced {
@@ -211,6 +263,24 @@
 	}
 }
 
+// Running takes in what requests of a host run on the server.
+func (keeper *Keeper) Running(now time.Time, host string, counts map[string]int) {
+	keeper.running[host] = hostRuns{counts: counts, at: now}
+}
+
+// inUse says whether a request for an adapter may be running or on its way.
+func (keeper *Keeper) inUse(now time.Time, adapter string) bool {
+	if known := keeper.entries[adapter]; known != nil && now.Sub(known.lastUse) < quietBefore {
+		return true
+	}
+	for _, runs := range keeper.running {
+		if runs.counts[adapter] > 0 && now.Sub(runs.at) < runningLifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // Wish is the answer to a wish for an adapter.
 type Wish int
 
@@ -227,7 +297,12 @@
 // Want asks for an adapter with its demand in requests.
 func (keeper *Keeper) Want(now time.Time, adapter string, demand float64) Wish {
 	known := keeper.entry(now, adapter)
+	lastUse := known.lastUse
 	known.use(now, demand)
+	if known.phase == ready && known.version < keeper.versions[adapter] {
+		// A wish for the newest version does not use the one before.
+		known.lastUse = lastUse
+	}
 	switch known.phase {
 	case wanted:
 		known.wantedAt = now
@@ -246,6 +321,12 @@
 		return WishFull
 	case known.phase == ready && !known.replacing && known.version >= keeper.versions[adapter]:
 		return WishReady
+	case known.phase == ready && !known.replacing && keeper.inUse(now, adapter):
+		// Requests run on the version before; it is loaded elsewhere meanwhile.
+		return WishFull
+	case known.phase == wanted && (keeper.blocked(now) || keeper.wishes() > maxWanted):
+		delete(keeper.entries, adapter)
+		return WishFull
 	case known.phase == wanted && keeper.synced && keeper.taken() >= keeper.places && keeper.victim(now) == "" && !keeper.makingRoom():
 		return WishFull
 	default:
@@ -253,6 +334,22 @@
 	}
 }
 
+// blocked says whether the server has taken no orders for a while.
+func (keeper *Keeper) blocked(now time.Time) bool {
+	return keeper.busy > 0 && now.Sub(keeper.busySince) > maxBlocked
+}
+
+// wishes returns the number of adapters that wait for their turn.
+func (keeper *Keeper) wishes() int {
+	count := 0
+	for _, known := range keeper.entries {
+		if known.phase == wanted {
+			count++
+		}
+	}
+	return count
+}
+
 // makingRoom says whether an adapter is on its way out.
 func (keeper *Keeper) makingRoom() bool {
 	for _, known := range keeper.entries {
@@ -284,12 +381,11 @@
 	return count
 }
 
-// victim returns the adapter that is least likely to be asked for again, or "". One that was used lately is chosen
-// only if there is no other and room is needed at once.
+// victim returns the adapter that is least likely to be asked for again and is not in use, or "".
 func (keeper *Keeper) victim(now time.Time) string {
 	best, least := "", math.Inf(1)
 	for name, known := range keeper.entries {
-		if known.phase != ready || known.replacing || now.Sub(known.lastUse) < quietBefore {
+		if known.phase != ready || known.replacing || keeper.inUse(now, name) {
 			continue
 		}
 		if demand := known.demandNow(now); demand < least || (demand == least && name < best) {
@@ -388,13 +484,13 @@
 }
 
 // nextReplacement loads the newest version in place of an older one.
-func (keeper *Keeper) nextReplacement(time.Time) (lentilproxy.Order, bool) {
+func (keeper *Keeper) nextReplacement(now time.Time) (lentilproxy.Order, bool) {
 	if keeper.inTransit() >= MaxInTransit {
 		return lentilproxy.Order{}, false
 	}
 	for _, name := range keeper.names() {
 		known := keeper.entries[name]
-		if known.phase == ready && !known.replacing && known.version < keeper.versions[name] {
+		if known.phase == ready && !known.replacing && known.version < keeper.versions[name] && !keeper.inUse(now, name) {
 			return keeper.order(lentilproxy.Load, name, keeper.versions[name]), true
 		}
 	}
@@ -424,7 +520,7 @@
 		return keeper.order(lentilproxy.Load, best, keeper.versions[best]), true
 	}
 	// There was no time to announce it.
-	if name := keeper.oldestRetiring(); name != "" {
+	if name := keeper.oldestRetiring(now); name != "" {
 		return keeper.order(lentilproxy.Unload, name, 0), true
 	}
 	if keeper.makingRoom() {
@@ -438,18 +534,19 @@
 
 // nextUnload unloads an adapter whose announcement everybody has got.
 func (keeper *Keeper) nextUnload(now time.Time) (lentilproxy.Order, bool) {
-	name := keeper.oldestRetiring()
+	name := keeper.oldestRetiring(now)
 	if name == "" || now.Sub(keeper.entries[name].retiredAt) < noticeTime {
 		return lentilproxy.Order{}, false
 	}
 	return keeper.order(lentilproxy.Unload, name, 0), true
 }
 
-func (keeper *Keeper) oldestRetiring() string {
+// oldestRetiring returns the adapter that was announced first to make room and that nobody uses, or "".
+func (keeper *Keeper) oldestRetiring(now time.Time) string {
 	oldest := ""
 	for _, name := range keeper.names() {
 		known := keeper.entries[name]
-		if known.phase == retiring && (oldest == "" || known.retiredAt.Before(keeper.entries[oldest].retiredAt)) {
+		if known.phase == retiring && !keeper.inUse(now, name) && (oldest == "" || known.retiredAt.Before(keeper.entries[oldest].retiredAt)) {
 			oldest = name
 		}
 	}
@@ -512,6 +609,9 @@
 // conflict takes in that an order met another one under way, or that its sequence was wrong, which look the same.
 func (keeper *Keeper) conflict(now time.Time, order lentilproxy.Order) {
 	keeper.busy++
+	if keeper.busy == 1 {
+		keeper.busySince = now
+	}
 	if keeper.busy >= maxBusy {
 		keeper.busy = 0
 		keeper.Unanswered(now)
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -42,6 +42,8 @@
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
 	// Used counts requests for adapters on servers that the receiver holds.
 	Used map[string]map[string]float64 `json:"used,omitempty"`
+	// Running counts the sender's running requests for adapters on servers that the receiver holds.
+	Running map[string]map[string]int `json:"running,omitempty"`
 	// Held is what servers have loaded that the sender holds, if it has changed.
 	Held map[string]heldUpdate `json:"held,omitempty"`
 }
@@ -128,10 +130,11 @@
 	coordinator := control.coordinator
 	for coordinator.pause(digestInterval) {
 		coordinator.do(func(now time.Time) {
-			used := coordinator.traffic.takeUsed()
+			used, running := coordinator.traffic.takeUsed(), coordinator.traffic.runningOn()
 			control.countUsed(now, used)
+			control.countRunning(now, coordinator.settings.Host.Name, running)
 			for _, peer := range control.peers {
-				control.tell(peer, used)
+				control.tell(peer, used, running)
 			}
 			coordinator.traffic.exchange(now)
 		})
@@ -149,7 +152,14 @@
 	}
 }
 
-func (control *control) tell(peer *peerState, used map[string]map[string]float64) {
+// countRunning takes in what requests of a host run on servers that this host holds.
+func (control *control) countRunning(now time.Time, host string, running map[string]map[string]int) {
+	for server, keeper := range control.keepers {
+		keeper.slots.Running(now, host, running[server])
+	}
+}
+
+func (control *control) tell(peer *peerState, used map[string]map[string]float64, running map[string]map[string]int) {
 	if peer.busy {
 		return
 	}
@@ -160,11 +170,17 @@
 	}
 	message := digest{
 		Host: control.coordinator.settings.Host.Name, Operators: control.operators.Newest(), Servers: control.servers.Newest(),
-		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Held: map[string]heldUpdate{},
+		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Held: map[string]heldUpdate{},
 	}
-	for server, adapters := range used {
-		if holder, found := control.book.Holder(server); found && holder.Name == peer.name {
-			message.Used[server] = adapters
+	for server := range control.coordinator.View().Servers {
+		if holder, found := control.book.Holder(server); !found || holder.Name != peer.name {
+			continue
+		}
+		if len(used[server]) > 0 {
+			message.Used[server] = used[server]
+		}
+		if len(running[server]) > 0 {
+			message.Running[server] = running[server]
 		}
 	}
 	told := map[string]int64{}
@@ -270,9 +286,8 @@
 func (control *control) takeDigest(message digest) digestResult {
 	var result digestResult
 	control.coordinator.do(func(now time.Time) {
-		for server, adapters := range message.Used {
-			control.countUsed(now, map[string]map[string]float64{server: adapters})
-		}
+		control.countUsed(now, message.Used)
+		control.countRunning(now, message.Host, message.Running)
 		control.coordinator.traffic.peer(now, message)
 		result = digestResult{Operators: control.operators.Newest(), Servers: control.servers.Newest()}
 		if peer := control.peers[message.Host]; peer != nil {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -35,9 +36,11 @@
 	board   *guard.Board
 	budgets map[string]*retry.Budget
 	// alive is the number of hosts that share limits and budgets.
-	alive   int
-	wants   map[wantKey]*pendingWant
-	used    map[string]map[string]float64
+	alive int
+	wants map[wantKey]*pendingWant
+	used  map[string]map[string]float64
+	// running counts requests by server and adapter.
+	running map[string]map[string]int
 	holders map[string]holder
 	// addresses are the peers' addresses, in the order of their names.
 	addresses map[string]string
@@ -60,7 +63,7 @@
 		coordinator: coordinator, table: sched.New(coordinator.settings.Host.DataCentre),
 		bank:  limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now()), overdraft),
 		board: guard.NewBoard(), budgets: map[string]*retry.Budget{}, alive: 1,
-		wants: map[wantKey]*pendingWant{}, used: map[string]map[string]float64{}, holders: map[string]holder{},
+		wants: map[wantKey]*pendingWant{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		addresses: map[string]string{}, credited: make(chan struct{}), limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds,
 	}
@@ -109,6 +112,13 @@
 	traffic.limits = limits
 }
 
+// Standing returns what the host has of a workspace's limit.
+func (traffic *Traffic) Standing(now time.Time, workspace string) limit.Standing {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.bank.Standing(now, workspace)
+}
+
 // reload takes changed bounds in. Budgets start anew with them.
 func (traffic *Traffic) reload(bounds setup.Bounds) {
 	traffic.mutex.Lock()
@@ -200,6 +210,17 @@
 	return used
 }
 
+// runningOn returns the running requests by server and adapter.
+func (traffic *Traffic) runningOn() map[string]map[string]int {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	copied := make(map[string]map[string]int, len(traffic.running))
+	for server, adapters := range traffic.running {
+		copied[server] = maps.Clone(adapters)
+	}
+	return copied
+}
+
 // join returns the wish that requests share, and starts it if there is none.
 func (traffic *Traffic) join(key wantKey, begin func(*pendingWant)) *pendingWant {
 	traffic.mutex.Lock()
@@ -239,16 +260,28 @@
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	if job.Ref.Adapter != "" {
-		adapters := traffic.used[server.ID]
-		if adapters == nil {
-			adapters = map[string]float64{}
-			traffic.used[server.ID] = adapters
-		}
-		adapters[job.Ref.Adapter]++
+		count(traffic.used, server.ID, job.Ref.Adapter, 1)
+		count(traffic.running, server.ID, job.Ref.Adapter, 1)
 	}
 	return traffic.table.Start(now, server, job)
 }
 
+// count adds to a counter by server and adapter, and drops counters at zero.
+func count[N int | float64](counters map[string]map[string]N, server, adapter string, change N) {
+	adapters := counters[server]
+	if adapters == nil {
+		adapters = map[string]N{}
+		counters[server] = adapters
+	}
+	adapters[adapter] += change
+	if adapters[adapter] == 0 {
+		delete(adapters, adapter)
+	}
+	if len(adapters) == 0 {
+		delete(counters, server)
+	}
+}
+
 // First counts the first event of an answer.
 func (traffic *Traffic) First(now time.Time, run *sched.Run) {
 	traffic.mutex.Lock()
@@ -260,6 +293,9 @@
 func (traffic *Traffic) End(run *sched.Run) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
+	if run.Adapter() != "" {
+		count(traffic.running, run.Server(), run.Adapter(), -1)
+	}
 	traffic.table.End(run)
 }
 
--- a/io/coord/want.go
+++ b/io/coord/want.go
@@ -106,8 +106,30 @@
 	return result
 }
 
+// slowWant is the time from which on a wish that took long is written to the log.
+const slowWant = 500 * time.Millisecond
+
 // want answers a wish for an adapter on a server that this host holds.
 func (control *control) want(ctx context.Context, params wantParams) wantResult {
+	startedAt := clock.Now()
+	result := control.awaitWish(ctx, params)
+	waited := clock.Now().Sub(startedAt)
+	if result.Outcome == WantReady && waited < slowWant {
+		return result
+	}
+	control.coordinator.do(func(now time.Time) {
+		fields := []any{"server", params.Server, "adapter", params.Adapter, "outcome", result.Outcome, "ms", waited.Milliseconds()}
+		if keeper := control.keepers[params.Server]; keeper != nil {
+			census := keeper.slots.Census(now)
+			fields = append(fields, "places", census.Places, "ready", census.Ready, "in_use", census.InUse, "loading", census.Loading,
+				"wanted", census.Wanted, "leaving", census.Leaving, "busy", census.Busy, "synced", census.Synced)
+		}
+		control.coordinator.log.Info("adapter late", fields...)
+	})
+	return result
+}
+
+func (control *control) awaitWish(ctx context.Context, params wantParams) wantResult {
 	deadline := clock.Now().Add(time.Duration(params.WaitMS) * time.Millisecond)
 	first := true
 	for {
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -32,13 +32,18 @@
 		service.firstByte.RecordDuration(call.sentAt.Sub(call.arrived))
 	}
 	service.metrics.Tagged(map[string]string{"outcome": call.outcome, "status": http.StatusText(call.status)}).Counter("requests").Inc(1)
-	if call.outcome == "answered" && refusal == nil && call.status < http.StatusBadRequest && len(call.servers) == 1 &&
-		service.answered.Add(1)%logEvery != 0 {
+	if refusal == nil && call.plain() && service.answered.Add(1)%logEvery != 0 {
 		return
 	}
 	call.logEnd(refusal)
 }
 
+// plain says whether the request succeeded at once and within its objective.
+func (call *call) plain() bool {
+	return call.outcome == "answered" && call.status < http.StatusBadRequest && len(call.servers) == 1 &&
+		call.firstAt.Sub(call.arrived) <= call.route.Objective
+}
+
 func (call *call) refuse(refusal *refuse.Refusal) {
 	call.outcome, call.status = "refused", refusal.Status()
 	header := http.Header{"Content-Type": {"application/json"}}
@@ -67,6 +72,11 @@
 	if refusal != nil {
 		fields = append(fields, "code", refusal.Code(), "reason", refusal.Message(), "executed", refusal.Executed(),
 			"retry_after_ms", refusal.RetryAfter().Milliseconds())
+		if refusal.Status() == http.StatusTooManyRequests {
+			standing := call.service.coordinator.Traffic().Standing(now, call.workspace.Name)
+			fields = append(fields, "cost", int(call.cost), "level", int(standing.Level), "rate", int(standing.Rate), "limit", int(standing.Limit),
+				"loans", standing.Loans)
+		}
 	}
 	call.service.log.Info("request ended", fields...)
 }
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -91,6 +91,8 @@
 	// workspace is empty on open routes.
 	workspace spec.Workspace
 	deadline  time.Time
+	// cost is what the request takes of its workspace's limit.
+	cost float64
 	// digest identifies requests with the same caller and content, over attempts of the caller.
 	digest string
 	// avoid are the servers that this request is not sent to again.
@@ -200,14 +202,14 @@
 	if call.workspace.Rate <= 0 {
 		return nil
 	}
-	cost := 1.0
+	call.cost = 1
 	if call.workspace.Metered {
-		cost = float64(call.ask.PromptTokens + call.ask.OutputTokens)
-		if cost == 0 {
-			cost = call.workspace.DefaultTokens
+		call.cost = float64(call.ask.PromptTokens + call.ask.OutputTokens)
+		if call.cost == 0 {
+			call.cost = call.workspace.DefaultTokens
 		}
 	}
-	switch call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, cost) {
+	switch call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, call.cost) {
 	case limit.Charged, limit.Unlimited:
 		return nil
 	case limit.Never:
