--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -214,6 +214,9 @@
 // Leased says whether the host's own lease runs.
 func (book *Book) Leased(now time.Time) bool { return book.joined && now.Before(book.until) }
 
+// Until returns the end of the host's own lease.
+func (book *Book) Until() time.Time { return book.until }
+
 // Holds returns the fencing number for orders to a server, if the host may give them at an instant.
 func (book *Book) Holds(now time.Time, server string) (int64, bool) {
 	held, found := book.claims[server]
@@ -248,15 +251,12 @@
 	return hosts
 }
 
-// Alive returns the number of hosts whose rows have changed lately, and this host.
-func (book *Book) Alive(now time.Time) int {
-	return len(book.alive(now))
-}
-
-func (book *Book) alive(now time.Time) []string {
+// alive returns the hosts whose rows have changed lately, and this host. Only the time between answers of the store
+// counts: a host that cannot read it must not take itself for the only one.
+func (book *Book) alive() []string {
 	names := []string{book.self.Name}
 	for name, seen := range book.hosts {
-		if name != book.self.Name && now.Sub(seen.since) < aliveFor {
+		if name != book.self.Name && book.scannedAt.Sub(seen.since) < aliveFor {
 			names = append(names, name)
 		}
 	}
@@ -298,7 +298,7 @@
 	}
 	own := lentilproxy.Condition{Key: Table + "/" + prefixHost + book.self.Name, Version: book.version}
 	claims.Transaction.Conditions = []lentilproxy.Condition{own}
-	alive := book.alive(now)
+	alive := book.alive()
 	for _, server := range servers {
 		if len(claims.Servers) >= maxClaims {
 			break
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -23,6 +23,7 @@
 
 	"lentilproxy"
 	"lentilproxy/core/lease"
+	"lentilproxy/core/limit"
 	"lentilproxy/core/mirror"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
@@ -92,9 +93,13 @@
 	// outages are the times since which the tables cannot be read.
 	outages map[string]time.Time
 	// lapsed are servers whose entries went while the store was away, with the time until which they stay in use.
-	lapsed    map[string]time.Time
-	returned  time.Time
-	faults    map[string]int64
+	lapsed   map[string]time.Time
+	returned time.Time
+	faults   map[string]int64
+	// crowd decides this host's part of limits; members and isolated are what it said last.
+	crowd     *limit.Crowd
+	members   int
+	isolated  bool
 	modelLoad modelLoads
 }
 
@@ -122,7 +127,7 @@
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, Run: coordinator.run,
 		}, settings.Bounds.LeaseGap),
 		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, outages: map[string]time.Time{},
-		lapsed: map[string]time.Time{}, faults: map[string]int64{},
+		lapsed: map[string]time.Time{}, faults: map[string]int64{}, crowd: limit.NewCrowd(settings.Host.Name),
 	}
 	coordinator.traffic.control = control
 	coordinator.server = peer.NewServer(listener, coordinator.meter, control.handle)
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -9,6 +9,7 @@
 	"lentilproxy/core/guard"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/sched"
+	"lentilproxy/io/clock"
 
 	"github.com/samber/oops"
 )
@@ -136,6 +137,7 @@
 			for _, peer := range control.peers {
 				control.tell(peer, used, running)
 			}
+			control.shareLimits(now)
 			coordinator.traffic.exchange(now)
 		})
 	}
@@ -198,9 +200,13 @@
 	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
 	defer cancel()
 	var result digestResult
+	sentAt := clock.Now()
 	err := coordinator.peers.Call(ctx, peer.address, methodDigest, message, &result)
 	coordinator.post(func(time.Time) {
 		peer.busy = false
+		if err == nil {
+			control.crowd.Acked(sentAt, peer.name)
+		}
 		if (err != nil) != peer.lost {
 			peer.lost = err != nil
 			control.logPeer(peer, err)
@@ -288,6 +294,7 @@
 	control.coordinator.do(func(now time.Time) {
 		control.countUsed(now, message.Used)
 		control.countRunning(now, message.Host, message.Running)
+		control.crowd.Heard(now, message.Host)
 		control.coordinator.traffic.peer(now, message)
 		result = digestResult{Operators: control.operators.Newest(), Servers: control.servers.Newest()}
 		if peer := control.peers[message.Host]; peer != nil {
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -86,7 +86,7 @@
 		control.book.Observe(sentAt, now, page.Rows)
 		control.updatePeers(now)
 		control.updateKeepers(now, coordinator.View())
-		coordinator.traffic.hosts(now, control.book.Alive(now))
+		control.shareLimits(now)
 	})
 }
 
@@ -131,6 +131,23 @@
 	})
 }
 
+// shareLimits divides the limits over the hosts that take part.
+func (control *control) shareLimits(now time.Time) {
+	hosts := control.book.Hosts()
+	names := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		names = append(names, host.Name)
+	}
+	control.crowd.Rows(names, control.book.Until())
+	members, fraction, isolated := control.crowd.Members(now), control.crowd.Fraction(now), control.crowd.Isolated(now)
+	if isolated != control.isolated || members != control.members {
+		control.coordinator.log.Info("limits divided", "members", members, "before", control.members, "isolated", isolated,
+			"leased_ms", control.book.Until().Sub(now).Milliseconds())
+	}
+	control.members, control.isolated = members, isolated
+	control.coordinator.traffic.share(now, members, fraction)
+}
+
 // engines returns the servers that take orders.
 func (control *control) engines() []string {
 	view := control.coordinator.View()
--- a/io/coord/keeper.go
+++ b/io/coord/keeper.go
@@ -201,7 +201,7 @@
 	if !found || service.Engine == nil {
 		return false
 	}
-	return control.modelLoad.ready(now, service.Engine.LoadsPerSecond/float64(control.book.Alive(now)))
+	return control.modelLoad.ready(now, service.Engine.LoadsPerSecond/float64(max(1, control.crowd.Members(now))))
 }
 
 func (control *control) reported(now time.Time, keeper *keeper, report spec.Report, err error) {
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -17,7 +17,7 @@
 	next.Servers = control.decodeServers(now, last)
 	control.logServers(last, next)
 	coordinator.view.Store(next)
-	coordinator.traffic.update(now, next, control.book.Alive(now))
+	coordinator.traffic.update(now, next)
 	control.updateKeepers(now, next)
 }
 
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -35,10 +35,11 @@
 	bank    *limit.Bank
 	board   *guard.Board
 	budgets map[string]*retry.Budget
-	// alive is the number of hosts that share limits and budgets.
-	alive int
-	wants map[wantKey]*pendingWant
-	used  map[string]map[string]float64
+	// count is the number of hosts that share limits and budgets, fraction this host's part of limits.
+	count    int
+	fraction float64
+	wants    map[wantKey]*pendingWant
+	used     map[string]map[string]float64
 	// running counts requests by server and adapter.
 	running map[string]map[string]int
 	holders map[string]holder
@@ -61,8 +62,9 @@
 	overdraft := limit.WithOverdraft(coordinator.settings.Bounds.QuotaOverdraft)
 	return &Traffic{
 		coordinator: coordinator, table: sched.New(coordinator.settings.Host.DataCentre),
-		bank:  limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now()), overdraft),
-		board: guard.NewBoard(), budgets: map[string]*retry.Budget{}, alive: 1,
+		fraction: limit.NewCrowd(coordinator.settings.Host.Name).Fraction(clock.Now()),
+		bank:     limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now()), overdraft),
+		board:    guard.NewBoard(), budgets: map[string]*retry.Budget{},
 		wants: map[wantKey]*pendingWant{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		addresses: map[string]string{}, credited: make(chan struct{}), limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds,
@@ -70,22 +72,21 @@
 }
 
 // update takes a new view in.
-func (traffic *Traffic) update(now time.Time, view *spec.View, alive int) {
+func (traffic *Traffic) update(now time.Time, view *spec.View) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	traffic.table.Update(view.Servers)
-	traffic.alive = alive
 	traffic.configureLimits(now, view)
 }
 
-// hosts takes in the number of hosts that share limits.
-func (traffic *Traffic) hosts(now time.Time, alive int) {
+// share takes in the number of hosts that share limits, and this host's part.
+func (traffic *Traffic) share(now time.Time, members int, fraction float64) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	if alive == traffic.alive {
+	if members == traffic.count && fraction == traffic.fraction {
 		return
 	}
-	traffic.alive = alive
+	traffic.count, traffic.fraction = members, fraction
 	traffic.configureLimits(now, traffic.coordinator.View())
 }
 
@@ -97,7 +98,7 @@
 		if workspace.Rate <= 0 {
 			continue
 		}
-		limits[name] = limit.Entitlement{Rate: workspace.Rate, Burst: max(workspace.Burst, 1), Fraction: 1 / float64(max(1, traffic.alive))}
+		limits[name] = limit.Entitlement{Rate: workspace.Rate, Burst: max(workspace.Burst, 1), Fraction: traffic.fraction}
 		changed = changed || limits[name] != traffic.limits[name]
 	}
 	if !changed && len(limits) == len(traffic.limits) {
@@ -133,7 +134,7 @@
 func (traffic *Traffic) hostCount() int {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	return max(1, traffic.alive)
+	return max(1, traffic.count)
 }
 
 // members takes in who the peers are and which servers they hold.
@@ -310,14 +311,14 @@
 func (traffic *Traffic) Request(now time.Time, service string) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	traffic.budget(now, service).Request(now, traffic.alive)
+	traffic.budget(now, service).Request(now, max(1, traffic.count))
 }
 
 // Retry says whether a request may be sent to a further server, and takes it from the budget.
 func (traffic *Traffic) Retry(now time.Time, service string) bool {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	return traffic.budget(now, service).Take(now, traffic.alive)
+	return traffic.budget(now, service).Take(now, max(1, traffic.count))
 }
 
 func (traffic *Traffic) budget(now time.Time, service string) *retry.Budget {
