--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -196,8 +196,13 @@
 
 // Stop hands over what the host holds, and ends the coordinator.
 func (coordinator *Coordinator) Stop(ctx context.Context) {
+	coordinator.traffic.control.handOver(ctx)
+	coordinator.Kill()
+}
+
+// Kill ends the coordinator without handing anything over.
+func (coordinator *Coordinator) Kill() {
 	coordinator.stopOnce.Do(func() {
-		coordinator.traffic.control.handOver(ctx)
 		coordinator.cancel()
 		coordinator.server.Close()
 		coordinator.peers.Close()
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -42,6 +42,7 @@
 	front       *front.Server
 	links       *link.Pool
 	servers     []*http.Server
+	addresses   []net.Listener
 	stopping    atomic.Bool
 	metrics     func() error
 	stopOnce    sync.Once
@@ -55,6 +56,11 @@
 	if err != nil {
 		return nil, err
 	}
+	hosted.addresses = listeners
+	if settings.Listen.AdvertisePeers == settings.Listen.Peers {
+		// Port 0 lets the system choose.
+		settings.Listen.AdvertisePeers = listeners[2].Addr().String()
+	}
 	metricsRegistry := registry.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: metricsRegistry, Gatherer: metricsRegistry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -118,6 +124,28 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
+// Callers returns the address for callers, as IP:port.
+func (hosted *Hosted) Callers() string { return hosted.addresses[0].Addr().String() }
+
+// Balancer returns the address for the balancer's questions, as IP:port.
+func (hosted *Hosted) Balancer() string { return hosted.addresses[1].Addr().String() }
+
+// Scrape returns the address of the metrics, as IP:port.
+func (hosted *Hosted) Scrape() string { return hosted.addresses[3].Addr().String() }
+
+// Kill ends the daemon at once, as a loss of power would.
+func (hosted *Hosted) Kill() {
+	hosted.stopOnce.Do(func() {
+		defer close(hosted.done)
+		hosted.coordinator.Kill()
+		hosted.front.Close()
+		hosted.links.Close()
+		for _, server := range hosted.servers {
+			_ = server.Close()
+		}
+	})
+}
+
 // Reload takes changed settings in. Only bounds may change while the daemon runs.
 func (hosted *Hosted) Reload(settings *setup.Settings) {
 	hosted.coordinator.Reload(settings.Bounds)
