--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -37,6 +37,7 @@
 	CodeStopping          Code = "host_stopping"
 	CodeNotConfigured     Code = "not_configured"
 	CodeNoCapacity        Code = "no_capacity"
+	CodeOverloaded        Code = "overloaded"
 	CodeLoadFailed        Code = "load_failed"
 	CodeBackendFailed     Code = "backend_failed"
 	CodeBackendRefused    Code = "backend_refused"
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -16,9 +16,12 @@
 // safety is the part of the allowance that hosts use: a window may hold what was saved before it and what accrues in it.
 const safety = 0.45
 
-// New returns a budget: a fraction of the requests, and an allowance over all hosts in each window.
-func New(now time.Time, ratio, allowance float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, allowance: allowance, window: window, tokens: 1, updated: now}
+// New returns a budget: a fraction of the requests, and an allowance over all hosts in each window. It starts half
+// full, since the host may have started again within a window.
+func New(now time.Time, ratio, allowance float64, window time.Duration, hosts int) *Budget {
+	budget := &Budget{ratio: ratio, allowance: allowance, window: window, updated: now}
+	budget.tokens = budget.limit(hosts) / 2
+	return budget
 }
 
 // Request counts a request, which earns a part of a retry.
@@ -28,7 +31,7 @@
 }
 
 func (budget *Budget) limit(hosts int) float64 {
-	return max(1, safety*budget.allowance/float64(max(1, hosts)))
+	return max(2, safety*budget.allowance/float64(max(1, hosts)))
 }
 
 func (budget *Budget) accrue(now time.Time, hosts int) {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -197,6 +197,8 @@
 	Output  int64
 	// Avoid are the servers that this request must not be sent to.
 	Avoid value.Set[string]
+	// Full are the servers that had no place for the adapter lately.
+	Full value.Set[string]
 }
 
 // Choice is the server for a request.
@@ -231,7 +233,7 @@
 	}
 	holders := holding(candidates)
 	if len(holders) == 0 {
-		home, found := homeOf(candidates, math.MaxInt64)
+		home, found := homeOf(candidates, math.MaxInt64, job.Full)
 		if !found {
 			return Choice{}, false
 		}
@@ -244,7 +246,7 @@
 	if job.Ref.Adapter == "" {
 		return choice, true
 	}
-	other, found := homeOf(candidates, best.expected/2)
+	other, found := homeOf(candidates, best.expected/2, job.Full)
 	if !found || (!best.ejected && best.expected < copyAbove) {
 		return choice, true
 	}
@@ -349,10 +351,10 @@
 
 // homeOf returns the first server in an adapter's order that could load it and is not much busier than the least busy
 // one. The order stays the same, so that a server is asked again for what it held lately.
-func homeOf(candidates []candidate, below time.Duration) (candidate, bool) {
+func homeOf(candidates []candidate, below time.Duration, full value.Set[string]) (candidate, bool) {
 	lowest := time.Duration(math.MaxInt64)
 	usable := func(option candidate) bool {
-		return option.known.held.Orderable && !option.holds && !option.ejected && option.expected < below
+		return !full.Has(option.entry.ID) && option.known.held.Orderable && !option.holds && !option.ejected && option.expected < below
 	}
 	for _, option := range candidates {
 		if usable(option) {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -273,6 +273,11 @@
 	if known := keeper.entries[adapter]; known != nil && now.Sub(known.lastUse) < quietBefore {
 		return true
 	}
+	return keeper.runs(now, adapter)
+}
+
+// runs says whether a host has told of a request for an adapter that runs.
+func (keeper *Keeper) runs(now time.Time, adapter string) bool {
 	for _, runs := range keeper.running {
 		if runs.counts[adapter] > 0 && now.Sub(runs.at) < runningLifetime {
 			return true
@@ -327,7 +332,7 @@
 	case known.phase == wanted && (keeper.blocked(now) || keeper.wishes() > maxWanted):
 		delete(keeper.entries, adapter)
 		return WishFull
-	case known.phase == wanted && keeper.synced && keeper.taken() >= keeper.places && keeper.victim(now) == "" && !keeper.makingRoom():
+	case known.phase == wanted && keeper.synced && keeper.taken() >= keeper.places && keeper.allRunning(now) && !keeper.makingRoom():
 		return WishFull
 	default:
 		return WishPending
@@ -350,6 +355,16 @@
 	return count
 }
 
+// allRunning says whether requests run on every adapter, so that none will make room soon.
+func (keeper *Keeper) allRunning(now time.Time) bool {
+	for name, known := range keeper.entries {
+		if known.phase == ready && !keeper.runs(now, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // makingRoom says whether an adapter is on its way out.
 func (keeper *Keeper) makingRoom() bool {
 	for _, known := range keeper.entries {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -324,7 +324,7 @@
 func (traffic *Traffic) budget(now time.Time, service string) *retry.Budget {
 	known := traffic.budgets[service]
 	if known == nil {
-		known = retry.New(now, traffic.bounds.RetryRatio, traffic.bounds.RetryAllowance, traffic.bounds.RetryWindow)
+		known = retry.New(now, traffic.bounds.RetryRatio, traffic.bounds.RetryAllowance, traffic.bounds.RetryWindow, traffic.count)
 		traffic.budgets[service] = known
 	}
 	return known
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -230,7 +230,8 @@
 		}
 	}()
 	conn.server.handler(ctx, exchange)
-	if !exchange.complete || exchange.lastAnswer {
+	if !exchange.complete || exchange.lastAnswer || conn.server.draining.Load() {
+		// An answer that began before the drain could not announce the close.
 		return false
 	}
 	_ = conn.raw.SetReadDeadline(past)
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -19,6 +19,10 @@
 const (
 	// maxTries bounds the servers that are considered for one request, those included that could not be reached.
 	maxTries = 6
+	// serverCheck is the time between two looks for a server that can take a request.
+	serverCheck = 60 * time.Millisecond
+	// patiencePart is the part of its time that a request waits for a server before it is refused.
+	patiencePart = 0.3
 	// minLeft is the least time that must be left for a request to be worth sending.
 	minLeft = 5 * time.Millisecond
 	// maxWholeBytes bounds an answer that is read whole before it is passed on.
@@ -47,17 +51,22 @@
 		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeCrashSuspect, "the request has crashed backend servers")
 	}
 	last := refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server could take the request").After(capacityWait)
-	for range maxTries {
+	for tries := 0; tries < maxTries; {
 		if call.ctx.Err() != nil || call.left() < minLeft {
 			return call.late(last)
 		}
 		choice, refusal := call.choose()
 		if refusal != nil {
-			return worse(last, refusal)
+			last = worse(last, refusal)
+			if refusal.Code() == refuse.CodeOverloaded || !call.waitForServer() {
+				return last
+			}
+			continue
 		}
 		if choice.Load && !call.load(choice) {
 			continue
 		}
+		tries++
 		if call.arrivals > 0 && !traffic.Retry(clock.Now(), call.target.Name) {
 			call.service.metrics.Counter("retries_denied").Inc(1)
 			return last
@@ -107,7 +116,7 @@
 }
 
 func (call *call) job() sched.Job {
-	job := sched.Job{Prompt: call.ask.PromptTokens, Output: call.ask.OutputTokens, Avoid: call.avoid}
+	job := sched.Job{Prompt: call.ask.PromptTokens, Output: call.ask.OutputTokens, Avoid: call.avoid, Full: call.full}
 	if call.target.Engine != nil {
 		job.Ref = call.ask.Model
 		job.Version = call.view.Versions[call.ask.Model]
@@ -126,8 +135,8 @@
 	if choice.Copy != "" {
 		call.service.coordinator.Copy(call.view.Servers[choice.Copy], call.ask.Model.Adapter)
 	}
-	if choice.Expected > call.left() {
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity,
+	if call.target.Engine != nil && choice.Expected > call.left() {
+		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded,
 			"the backend servers are too busy to answer in time").After(choice.Expected - call.left())
 	}
 	return choice, nil
@@ -142,10 +151,29 @@
 	if outcome == coord.WantReady {
 		return true
 	}
-	call.avoid.Add(choice.Server.ID)
+	call.full.Add(choice.Server.ID)
 	return false
 }
 
+// waitForServer waits a moment for a server that can take the request, which then may go to any that has not failed it.
+// It says no once the request should rather be refused: a caller that comes back costs more than a short wait, but must
+// learn early that it is refused.
+func (call *call) waitForServer() bool {
+	patience := time.Duration(patiencePart * float64(call.deadline.Sub(call.arrived)))
+	if clock.Now().Add(serverCheck).After(call.arrived.Add(patience)) {
+		return false
+	}
+	timer := time.NewTimer(serverCheck)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		clear(call.full)
+		return true
+	case <-call.ctx.Done():
+		return false
+	}
+}
+
 // try sends the request to one server.
 func (call *call) try(server spec.Server) (verdict, *refuse.Refusal) {
 	traffic := call.service.coordinator.Traffic()
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -97,6 +97,8 @@
 	digest string
 	// avoid are the servers that this request is not sent to again.
 	avoid value.Set[string]
+	// full are the servers that had no place for the adapter.
+	full value.Set[string]
 	// servers are those that the request was sent to, for the log.
 	servers []string
 	// arrivals are requests that reached a server, runs those that may have run there.
@@ -117,7 +119,8 @@
 // Handle implements front.Handler.
 func (service *Service) Handle(ctx context.Context, exchange *front.Exchange) {
 	call := &call{
-		service: service, exchange: exchange, view: service.coordinator.View(), arrived: clock.Now(), avoid: value.NewSet[string](),
+		service: service, exchange: exchange, view: service.coordinator.View(), arrived: clock.Now(),
+		avoid: value.NewSet[string](), full: value.NewSet[string](),
 	}
 	refusal := call.admit(ctx)
 	if refusal == nil {
