Leases: a released server is claimed only after the gap; keeper: a repeated replacement is not counted

Both found by properties: a claimant that started again within the gap gave orders at once; the poll of a replacement raised the sequence.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -74,12 +74,6 @@
 	since   time.Time
 }
 
-// claim is a server that this host holds.
-type claim struct {
-	token     int64
-	notBefore time.Time
-}
-
 // Book is one host's knowledge of leases. It is not safe for concurrent use.
 type Book struct {
 	self    Host
@@ -88,11 +82,12 @@
 	// joined says that the host's own row of this run is in the store.
 	joined bool
 	// until is the end of the host's own lease.
-	until     time.Time
-	joinedAt  time.Time
-	hosts     map[string]seenHost
-	holders   map[string]seenHolder
-	claims    map[string]claim
+	until    time.Time
+	joinedAt time.Time
+	hosts    map[string]seenHost
+	holders  map[string]seenHolder
+	// claims maps the servers that this host holds to the fencing numbers of its orders.
+	claims    map[string]int64
 	scannedAt time.Time
 	leaving   bool
 }
@@ -100,7 +95,7 @@
 // New returns the book of a host that has not joined yet.
 func New(self Host, gap time.Duration) *Book {
 	return &Book{
-		self: self, gap: max(gap, Gap), hosts: map[string]seenHost{}, holders: map[string]seenHolder{}, claims: map[string]claim{},
+		self: self, gap: max(gap, Gap), hosts: map[string]seenHost{}, holders: map[string]seenHolder{}, claims: map[string]int64{},
 	}
 }
 
@@ -147,8 +142,8 @@
 		// A renewal whose answer was lost has taken effect.
 		book.version, book.joined = own.version, true
 	}
-	for server, claim := range book.claims {
-		if seen, found := book.holders[server]; found && seen.version > claim.token {
+	for server, token := range book.claims {
+		if seen, found := book.holders[server]; found && seen.version > token {
 			delete(book.claims, server)
 		}
 	}
@@ -219,11 +214,8 @@
 
 // Holds returns the fencing number for orders to a server, if the host may give them at an instant.
 func (book *Book) Holds(now time.Time, server string) (int64, bool) {
-	held, found := book.claims[server]
-	if !found || !book.Leased(now) || now.Before(held.notBefore) {
-		return 0, false
-	}
-	return held.token, true
+	token, found := book.claims[server]
+	return token, found && book.Leased(now)
 }
 
 // Holder returns the host that gives orders to a server, as far as it is known.
@@ -326,6 +318,10 @@
 	if now.Sub(book.joinedAt) < settleTime {
 		return false
 	}
+	if found && seen.row.Released && now.Sub(seen.since) < book.gap+margin {
+		// Its claim has to allow orders at once, also to a host that starts again right after it.
+		return false
+	}
 	if found && !seen.row.Released {
 		if _, present := book.hosts[seen.row.Host]; present {
 			return false
@@ -337,12 +333,7 @@
 // Claimed takes in that claims have taken effect with a version.
 func (book *Book) Claimed(now time.Time, claims Claims, version int64) {
 	for _, server := range claims.Servers {
-		seen, found := book.holders[server]
-		held := claim{token: version}
-		if found && seen.row.Released && seen.row.Host != book.self.Name {
-			held.notBefore = seen.since.Add(book.gap + margin)
-		}
-		book.claims[server] = held
+		book.claims[server] = version
 		book.holders[server] = seenHolder{row: holderRow{Host: book.self.Name}, version: version, since: now}
 	}
 }
@@ -380,7 +371,7 @@
 			continue
 		}
 		key := Table + "/" + prefixHolder + server
-		transaction.Conditions = append(transaction.Conditions, lentilproxy.Condition{Key: key, Version: book.claims[server].token})
+		transaction.Conditions = append(transaction.Conditions, lentilproxy.Condition{Key: key, Version: book.claims[server]})
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{Key: key, Delete: true})
 		delete(book.claims, server)
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -594,7 +594,7 @@
 		known.phase, known.orderAt = leaving, now
 	case order.Kind == lentilproxy.Load && known.phase == wanted:
 		known.phase, known.orderAt = loading, now
-	case order.Kind == lentilproxy.Load && known.phase == ready:
+	case order.Kind == lentilproxy.Load && known.phase == ready && !known.replacing:
 		known.replacing, known.orderAt = true, now
 	default:
 		keeper.repeated = true
--- /dev/null
+++ b/core/slots/slots_test.go
@@ -0,0 +1,266 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilproxy"
+	"lentilproxy/core/spec"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// engine is a server that carries orders out as the platform describes it.
+type engine struct {
+	places   int
+	held     map[string]int64
+	loading  map[string]time.Time
+	leaving  string
+	runs     map[string]time.Time
+	sequence int64
+	newest   map[string]int64
+	overfull bool
+}
+
+func newEngine(places int) *engine {
+	return &engine{places: places, held: map[string]int64{}, loading: map[string]time.Time{}, runs: map[string]time.Time{}, newest: map[string]int64{}}
+}
+
+func (engine *engine) settle(now time.Time) {
+	for name, at := range engine.loading {
+		if !now.Before(at) {
+			delete(engine.loading, name)
+			engine.held[name] = max(1, engine.newest[name])
+		}
+	}
+	if engine.leaving != "" && !now.Before(engine.runs[engine.leaving]) {
+		delete(engine.held, engine.leaving)
+		engine.leaving = ""
+	}
+}
+
+func (engine *engine) report(now time.Time) spec.Report {
+	engine.settle(now)
+	report := spec.Report{Sequence: engine.sequence}
+	holding := spec.Holding{Model: "m", Adapters: map[string]int64{}}
+	for name, version := range engine.held {
+		holding.Adapters[name] = version
+	}
+	report.Holdings = []spec.Holding{holding}
+	for name := range engine.loading {
+		report.Pending = append(report.Pending, spec.AdapterRef{Model: "m", Adapter: name})
+	}
+	return report
+}
+
+func (engine *engine) order(now time.Time, order lentilproxy.Order) lentilproxy.OrderOutcome {
+	engine.settle(now)
+	name := order.Ref.Adapter
+	if order.Sequence != engine.sequence || (engine.leaving != "" && engine.leaving != name) {
+		return lentilproxy.OrderConflict
+	}
+	version, present := engine.held[name]
+	if order.Kind == lentilproxy.Unload {
+		switch {
+		case !present:
+			return lentilproxy.OrderHolds
+		case engine.leaving == name:
+			return lentilproxy.OrderAccepted
+		case now.Before(engine.runs[name]):
+			engine.leaving = name
+			engine.sequence++
+			return lentilproxy.OrderAccepted
+		}
+		delete(engine.held, name)
+		engine.sequence++
+		return lentilproxy.OrderHolds
+	}
+	if _, coming := engine.loading[name]; coming {
+		return lentilproxy.OrderAccepted
+	}
+	if present && version >= engine.newest[name] {
+		return lentilproxy.OrderHolds
+	}
+	delete(engine.held, name)
+	if len(engine.held)+len(engine.loading) >= engine.places {
+		engine.overfull = true
+	}
+	engine.loading[name] = now.Add(250 * time.Millisecond)
+	engine.sequence++
+	return lentilproxy.OrderAccepted
+}
+
+// Whatever is asked for, announced and lost, the server is never ordered to load more than it has places for, and what
+// the keeper announces as loaded is loaded.
+func TestServerIsNeverOverfilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engine := newEngine(rapid.IntRange(2, 18).Draw(t, "places"))
+		keeper := New("m", engine.places, start)
+		now := start
+		lost := false
+		var reported time.Time
+		for range rapid.IntRange(100, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond)
+			adapter := fmt.Sprintf("a%d", rapid.IntRange(0, 30).Draw(t, "adapter"))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2, 3:
+				keeper.Want(now, adapter, 1)
+			case 4:
+				if keeper.Check(now, adapter) == WishReady {
+					engine.runs[adapter] = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "run")) * time.Millisecond)
+					keeper.Used(now, adapter, 1)
+				}
+			case 5:
+				engine.newest[adapter] = max(1, engine.newest[adapter]) + 1
+				versions := map[string]int64{}
+				for name, version := range engine.newest {
+					versions[name] = version
+				}
+				keeper.Announce(versions)
+			}
+			if keeper.ReportDue(now) {
+				keeper.Reported(now, engine.report(now))
+				reported = now
+				lost = false
+			}
+			keeper.Retire(now)
+			order, found := keeper.Next(now, true)
+			if !found {
+				continue
+			}
+			keeper.Sent(now, order)
+			if rapid.IntRange(0, 40).Draw(t, "lose") == 0 {
+				if rapid.Bool().Draw(t, "done") {
+					engine.order(now, order)
+				}
+				keeper.Unanswered(now)
+				lost = true
+				continue
+			}
+			keeper.Answered(now, order, engine.order(now, order))
+			if engine.overfull {
+				t.Fatalf("overfilled by %+v", order)
+			}
+		}
+		engine.settle(now)
+		if lost || reported.IsZero() || !keeper.Synced() {
+			return
+		}
+		for name := range keeper.Ready() {
+			if _, held := engine.held[name]; !held {
+				t.Fatalf("%s is announced and not loaded", name)
+			}
+		}
+	})
+}
+
+// serve runs the keeper against the engine for a while.
+func serve(now time.Time, duration time.Duration, keeper *Keeper, engine *engine) time.Time {
+	for end := now.Add(duration); now.Before(end); now = now.Add(5 * time.Millisecond) {
+		if keeper.ReportDue(now) {
+			keeper.Reported(now, engine.report(now))
+		}
+		keeper.Retire(now)
+		if order, found := keeper.Next(now, true); found {
+			keeper.Sent(now, order)
+			keeper.Answered(now, order, engine.order(now, order))
+		}
+	}
+	return now
+}
+
+func TestUnloadInUseDoesNotStopTheKeeperForLong(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(3)
+	keeper := New("m", 3, start)
+	now := start
+	for _, name := range []string{"a", "b", "c"} {
+		keeper.Want(now, name, 1)
+	}
+	now = serve(now, time.Second, keeper, engine)
+	is.Equal(len(keeper.Ready()), 3)
+	// Another host's request for a runs, and the keeper does not know of it.
+	engine.runs["a"] = now.Add(400 * time.Millisecond)
+	keeper.Used(now, "b", 5)
+	keeper.Used(now, "c", 5)
+	keeper.Want(now, "d", 1)
+	// Before: each order that met the unload was taken for a wrong sequence and cost a report and half a second.
+	now = serve(now, 800*time.Millisecond, keeper, engine)
+	is.Equal(keeper.Check(now, "d"), WishReady)
+}
+
+func TestAdaptersInUseAreNotUnloaded(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(2)
+	keeper := New("m", 2, start)
+	keeper.Want(start, "a", 1)
+	keeper.Want(start, "b", 1)
+	now := serve(start, time.Second, keeper, engine)
+	keeper.Running(now, "host", map[string]int{"a": 1, "b": 1})
+	is.Equal(keeper.Want(now, "c", 9), WishFull)
+	keeper.Running(now, "host", map[string]int{"a": 1})
+	is.Equal(keeper.Want(now, "c", 9), WishPending)
+	now = serve(now, time.Second, keeper, engine)
+	is.Equal(keeper.Check(now, "c"), WishReady)
+	_, held := keeper.Ready()["a"]
+	is.True(held)
+}
+
+func TestLeastDemandedMakesRoom(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(2)
+	keeper := New("m", 2, start)
+	keeper.Want(start, "busy", 1)
+	keeper.Want(start, "rare", 1)
+	now := serve(start, time.Second, keeper, engine)
+	keeper.Used(now, "busy", 20)
+	now = serve(now, time.Second, keeper, engine)
+	keeper.Want(now, "new", 1)
+	now = serve(now, time.Second, keeper, engine)
+	_, busy := keeper.Ready()["busy"]
+	_, rare := keeper.Ready()["rare"]
+	is.True(busy)
+	is.True(!rare)
+	is.Equal(keeper.Check(now, "new"), WishReady)
+}
+
+func TestNewVersionWaitsForRuns(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(2)
+	keeper := New("m", 2, start)
+	keeper.Want(start, "a", 1)
+	now := serve(start, time.Second, keeper, engine)
+	keeper.Running(now, "host", map[string]int{"a": 1})
+	engine.newest["a"] = 2
+	keeper.Announce(map[string]int64{"a": 2})
+	is.Equal(keeper.Want(now, "a", 1), WishFull) // It is loaded elsewhere meanwhile.
+	keeper.Running(now, "host", nil)
+	now = serve(now, time.Second, keeper, engine)
+	is.Equal(keeper.Check(now, "a"), WishReady)
+	is.Equal(keeper.Ready()["a"], int64(2))
+}
+
+func TestServerThatStartedEmptyGetsItsModel(t *testing.T) {
+	is := is.New(t)
+	keeper := New("m", 2, start)
+	keeper.Reported(start, spec.Report{})
+	is.True(!keeper.HasModel())
+	_, found := keeper.Next(start, false)
+	is.True(!found) // The weight store's rate does not allow it yet.
+	order, found := keeper.Next(start, true)
+	is.True(found)
+	is.Equal(order.Ref, spec.AdapterRef{Model: "m"})
+	keeper.Sent(start, order)
+	keeper.Answered(start, order, lentilproxy.OrderAccepted)
+	is.True(keeper.ModelOrdered())
+	now := start.Add(time.Second)
+	order, found = keeper.Next(now, false)
+	is.True(found) // The question whether it has arrived needs no allowance.
+	keeper.Sent(now, order)
+	keeper.Answered(now, order, lentilproxy.OrderHolds)
+	is.True(keeper.HasModel())
+}
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,293 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentilproxy/core/spec"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// echo records requests and answers them.
+type echo struct {
+	mutex    sync.Mutex
+	requests []string
+	serve    func(ctx context.Context, exchange *Exchange)
+}
+
+func (echo *echo) handle(ctx context.Context, exchange *Exchange) {
+	echo.mutex.Lock()
+	echo.requests = append(echo.requests, exchange.Method()+" "+exchange.Target()+" "+string(exchange.Body()))
+	echo.mutex.Unlock()
+	if echo.serve != nil {
+		echo.serve(ctx, exchange)
+		return
+	}
+	exchange.Respond(http.StatusOK, http.Header{}, []byte("ok"))
+}
+
+func (echo *echo) seen() []string {
+	echo.mutex.Lock()
+	defer echo.mutex.Unlock()
+	return append([]string(nil), echo.requests...)
+}
+
+var testLimits = spec.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 2 * time.Second}
+
+func newServer(t *testing.T, echo *echo) (*Server, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(listener, func() spec.Limits { return testLimits }, echo.handle)
+	t.Cleanup(server.Close)
+	return server, listener.Addr().String()
+}
+
+// exchangeRaw sends bytes and returns the status line, or "" if the connection ended without an answer.
+func exchangeRaw(t *testing.T, address, content string) string {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.WriteString(conn, content)
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line)
+}
+
+func TestAmbiguousRequestsAreRefused(t *testing.T) {
+	hidden := "GET /hidden/ HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, test := range map[string]struct {
+		content string
+		status  string
+	}{
+		"plain":               {"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n", "200"},
+		"length":              {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", "200"},
+		"chunks":              {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "200"},
+		"chunks with trailer": {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n", "200"},
+		"length and chunks":   {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400"},
+		"chunks and length":   {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 60\r\n\r\n0\r\n\r\n" + hidden, "400"},
+		"two lengths":         {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 36\r\n\r\n" + hidden, "400"},
+		"same lengths":        {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi", "400"},
+		"list of lengths":     {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2, 2\r\n\r\nhi", "400"},
+		"signed length":       {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: +2\r\n\r\nhi", "400"},
+		"space before colon":  {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length : 36\r\n\r\n" + hidden, "400"},
+		"coding twice":        {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n", "400"},
+		"other coding":        {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + hidden, "400"},
+		"folded line":         {"GET /a/ HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n", "400"},
+		"bare line ends":      {"GET /a/ HTTP/1.1\nHost: a\n\n", "400"},
+		"bare end in header":  {"GET /a/ HTTP/1.1\r\nHost: a\r\nX: b\nContent-Length: 36\r\n\r\n" + hidden, "400"},
+		"bare return":         {"GET /a/ HTTP/1.1\r\nHost: a\r\nX: b\rY: c\r\n\r\n", "400"},
+		"bare end in chunk":   {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\nhi\r\n0\r\n\r\n", "400"},
+		"bad chunk size":      {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nhi\r\n0\r\n\r\n", "400"},
+		"no host":             {"GET /a/ HTTP/1.1\r\n\r\n", "400"},
+		"two hosts":           {"GET /a/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+		"whole address":       {"GET http://a/a/ HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+		"old protocol":        {"GET /a/ HTTP/1.0\r\nHost: a\r\n\r\n", "400"},
+		"space in target":     {"GET /a/ b HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+		"huge head":           {"GET /a/ HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 10<<10) + "\r\n\r\n", "431"},
+		"huge body":           {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n", "413"},
+		"huge chunk":          {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000), "413"},
+		"slow head":           {"GET /a/ HTTP/1.1\r\nHost: a\r\n", "408"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			echo := &echo{}
+			_, address := newServer(t, echo)
+			line := exchangeRaw(t, address, test.content)
+			is.True(strings.HasPrefix(line, "HTTP/1.1 "+test.status+" "))
+			for _, request := range echo.seen() {
+				is.True(!strings.Contains(request, "hidden"))
+			}
+		})
+	}
+}
+
+func TestRequestsOnOneConnectionComeInOrder(t *testing.T) {
+	is := is.New(t)
+	echo := &echo{}
+	_, address := newServer(t, echo)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\nPOST /2/ HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+	is.Equal(echo.seen(), []string{"GET /1/ ", "POST /2/ abc"})
+}
+
+// Bodies arrive whole however they are cut into chunks and packets.
+func TestBodiesArriveWhole(t *testing.T) {
+	echo := &echo{}
+	_, address := newServer(t, echo)
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(t, "body")
+		var content bytes.Buffer
+		content.WriteString("POST /b/ HTTP/1.1\r\nHost: a\r\n")
+		if rapid.Bool().Draw(t, "chunked") {
+			content.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+			for rest := body; len(rest) > 0; {
+				size := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+				fmt.Fprintf(&content, "%x\r\n%s\r\n", size, rest[:size])
+				rest = rest[size:]
+			}
+			content.WriteString("0\r\n\r\n")
+		} else {
+			fmt.Fprintf(&content, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		for rest := content.Bytes(); len(rest) > 0; {
+			size := rapid.IntRange(1, len(rest)).Draw(t, "packet")
+			_, _ = conn.Write(rest[:size])
+			rest = rest[size:]
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("no answer: %v", err)
+		}
+		seen := echo.seen()
+		if last := seen[len(seen)-1]; last != "POST /b/ "+string(body) {
+			t.Fatalf("got %q", last)
+		}
+	})
+}
+
+func TestHandlerLearnsThatTheCallerHasGone(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan bool, 1)
+	echo := &echo{serve: func(ctx context.Context, exchange *Exchange) {
+		select {
+		case <-ctx.Done():
+			gone <- exchange.Gone()
+		case <-time.After(3 * time.Second):
+			gone <- false
+		}
+	}}
+	_, address := newServer(t, echo)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, _ = io.WriteString(conn, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	_ = conn.Close()
+	is.True(<-gone)
+}
+
+// An answer that began before the drain announces no close; its connection must not take a further request.
+func TestDrainEndsConnectionsAfterTheirAnswer(t *testing.T) {
+	is := is.New(t)
+	finish := make(chan struct{})
+	echo := &echo{serve: func(_ context.Context, exchange *Exchange) {
+		exchange.Begin(http.StatusOK, http.Header{}, []byte("first"))
+		<-finish
+		exchange.End()
+	}}
+	server, address := newServer(t, echo)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	server.Drain()
+	close(finish)
+	content, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(content), "first")
+	_, _ = io.WriteString(conn, "GET /2/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = http.ReadResponse(reader, nil)
+	is.True(err != nil)
+	is.Equal(len(echo.seen()), 1)
+}
+
+func TestStopClosesIdleConnectionsOnly(t *testing.T) {
+	is := is.New(t)
+	finish := make(chan struct{})
+	echo := &echo{serve: func(_ context.Context, exchange *Exchange) {
+		if exchange.Target() == "/slow/" {
+			<-finish
+		}
+		exchange.Respond(http.StatusOK, http.Header{}, []byte("ok"))
+	}}
+	server, address := newServer(t, echo)
+	idle, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = idle.Close() }()
+	busy, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = busy.Close() }()
+	_, _ = io.WriteString(busy, "GET /slow/ HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	server.StopAccepting()
+	_ = idle.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = idle.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	close(finish)
+	response, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+	_, err = net.Dial("tcp", address)
+	is.True(err != nil)
+}
+
+// An answer that is aborted must not look complete.
+func TestAbortedAnswerIsVisiblyCut(t *testing.T) {
+	is := is.New(t)
+	echo := &echo{serve: func(_ context.Context, exchange *Exchange) {
+		exchange.Begin(http.StatusOK, http.Header{}, []byte("first"))
+	}}
+	_, address := newServer(t, echo)
+	response, err := http.Get("http://" + address + "/1/")
+	is.NoErr(err)
+	_, err = io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
+
+func FuzzHead(f *testing.F) {
+	f.Add([]byte("GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, head []byte) {
+		if !bytes.HasSuffix(head, headEnd) || bytes.Index(head, headEnd) != len(head)-len(headEnd) || checkHead(head) != nil {
+			return
+		}
+		// What was accepted means the same to the library.
+		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+		if err != nil {
+			return
+		}
+		exchange, err := parseHead(head)
+		if err != nil {
+			return
+		}
+		if request.Method != exchange.method || request.RequestURI != exchange.target {
+			t.Fatalf("%q %q is read as %q %q", exchange.method, exchange.target, request.Method, request.RequestURI)
+		}
+		if len(request.TransferEncoding) > 0 && exchange.header.Get("Content-Length") != "" {
+			t.Fatal("two lengths were accepted")
+		}
+	})
+}
