--- a/core/limit/bank.go
+++ b/core/limit/bank.go
@@ -102,11 +102,9 @@
 	return func(bank *Bank) { bank.opens, bank.opening = opens, true }
 }
 
-// WithOverdraft lets every account go below zero by some tokens. The hosts together exceed a limit by the sum of their
+// SetOverdraft lets every account go below zero by some tokens. The hosts together exceed a limit by the sum of their
 // overdrafts at most, since what is overdrawn has to accrue before it can be spent again.
-func WithOverdraft(tokens float64) Option {
-	return func(bank *Bank) { bank.overdraft = tokens }
-}
+func (bank *Bank) SetOverdraft(tokens float64) { bank.overdraft = tokens }
 
 // NewBank returns the bank of a host, with all accounts empty.
 func NewBank(host string, options ...Option) *Bank {
@@ -219,6 +217,23 @@
 	Limit float64
 	// Loans is the number of loans that the host has taken.
 	Loans int
+	// Overdraft is how far below zero the level may go.
+	Overdraft float64
+}
+
+const (
+	// minReturn and maxReturn bound the time after which a caller beyond its limit should come back.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 2 * time.Second
+)
+
+// ReturnIn returns the time after which tokens for a request should be at hand.
+func (standing Standing) ReturnIn(tokens float64) time.Duration {
+	missing := tokens - standing.Level - standing.Overdraft
+	if missing <= 0 || standing.Rate <= 0 {
+		return minReturn
+	}
+	return min(max(time.Duration(missing/standing.Rate*float64(time.Second)), minReturn), maxReturn)
 }
 
 // Standing returns what the host has of a workspace's limit.
@@ -226,6 +241,7 @@
 	account := bank.account(now, workspace)
 	return Standing{
 		Level: account.level, Rate: account.effective().rate, Limit: bank.limits[workspace].Rate, Loans: len(account.borrowed),
+		Overdraft: bank.overdraft,
 	}
 }
 
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -68,8 +68,6 @@
 	StopGrace time.Duration `ini:"stop_grace"`
 	// QuotaAllowance is the number of tokens by which a workspace may exceed its limit in a window, over all hosts.
 	QuotaAllowance float64 `ini:"quota_allowance"`
-	// QuotaOverdraft is the part of QuotaAllowance in tokens that this host may use.
-	QuotaOverdraft float64
 }
 
 // Weights bounds the loads from the weight store over the whole deployment.
@@ -239,13 +237,8 @@
 	reader.positive(section, "retry_window", int64(bounds.RetryWindow))
 	reader.positive(section, "lease_gap", int64(bounds.LeaseGap))
 	reader.positive(section, "stop_grace", int64(bounds.StopGrace))
-	bounds.QuotaOverdraft = bounds.QuotaAllowance * overdraftPart
 }
 
-// overdraftPart is the part of the quota allowance that each host may use by itself: five hosts then stay within two
-// thirds of it, and the rest covers restarts that forget what was spent.
-const overdraftPart = 0.13
-
 func (reader *reader) listen(section *decl.Section) {
 	listen := &reader.settings.Listen
 	used := map[string]string{}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -23,6 +23,9 @@
 	accrueWait = 10 * time.Millisecond
 	// borrowInterval bounds how often requests that wait cause an exchange of loans.
 	borrowInterval = 20 * time.Millisecond
+	// overdraftPart is the part of the tolerated excess over a limit that the hosts use together, each its share, for
+	// requests that the loans come too late for. The rest covers hosts that start again and forget what they spent.
+	overdraftPart = 0.65
 )
 
 // Traffic is the state that requests share. Its critical sections are short and do no input or output.
@@ -59,11 +62,10 @@
 }
 
 func newTraffic(coordinator *Coordinator) *Traffic {
-	overdraft := limit.WithOverdraft(coordinator.settings.Bounds.QuotaOverdraft)
 	return &Traffic{
 		coordinator: coordinator, table: sched.New(coordinator.settings.Host.DataCentre),
 		fraction: limit.NewCrowd(coordinator.settings.Host.Name).Fraction(clock.Now()),
-		bank:     limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now()), overdraft),
+		bank:     limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now())),
 		board:    guard.NewBoard(), budgets: map[string]*retry.Budget{},
 		wants: map[wantKey]*pendingWant{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		addresses: map[string]string{}, credited: make(chan struct{}), limits: map[string]limit.Entitlement{},
@@ -92,6 +94,7 @@
 
 // configureLimits divides the limits over the hosts. A limit that is new starts full, as nobody has used it.
 func (traffic *Traffic) configureLimits(now time.Time, view *spec.View) {
+	traffic.bank.SetOverdraft(overdraftPart * traffic.bounds.QuotaAllowance / float64(max(1, traffic.count)))
 	limits := map[string]limit.Entitlement{}
 	changed := false
 	for name, workspace := range view.Config.Workspaces() {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -31,8 +31,6 @@
 	configWait = 300 * time.Millisecond
 	// capacityWait is when a caller should come back that found no server: failed ones are tried again by then.
 	capacityWait = 400 * time.Millisecond
-	// overRateWait is when a caller beyond its limit should come back if nothing better is known.
-	overRateWait = time.Second
 )
 
 // Service serves callers' requests.
@@ -218,7 +216,8 @@
 	case limit.Never:
 		return refuse.NotRun(http.StatusTooManyRequests, refuse.CodeOverBurst, "the request costs more than the workspace's burst")
 	default:
-		return refuse.NotRun(http.StatusTooManyRequests, refuse.CodeOverRate, "the workspace is over its limit").After(overRateWait)
+		standing := call.service.coordinator.Traffic().Standing(clock.Now(), call.workspace.Name)
+		return refuse.NotRun(http.StatusTooManyRequests, refuse.CodeOverRate, "the workspace is over its limit").After(standing.ReturnIn(call.cost))
 	}
 }
 
