--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -36,8 +36,14 @@
 	maxBusy = 25
 	// maxBlocked is how long a server may take no orders before wishes go to another one.
 	maxBlocked = 200 * time.Millisecond
-	// maxWanted is the number of wishes that may wait at one server.
-	maxWanted = 6
+	// maxWanted is the number of wishes that may wait at one server: the weight store brings some seven adapters a second
+	// to each, and callers wait for two to three seconds.
+	maxWanted = 10
+	// MaxFromStore is the number of adapters that may be on their way from the weight store to one server. The store
+	// slows down beyond some two a server; one place in transit stays for adapters that the server held lately.
+	MaxFromStore = 3
+	// maxRecent is the number of adapters of which a server is taken to have kept a copy.
+	maxRecent = 100
 	// reservePart is the number of places for each one that is kept free for the next load.
 	reservePart = 9
 	// wantLifetime is how long a load that was asked for is worth its place in the queue.
@@ -117,13 +123,15 @@
 	busyUntil time.Time
 	// running holds the requests of each host for adapters of this server.
 	running map[string]hostRuns
+	// recent holds the adapters that the server had loaded before, with the time when they left; it loads them fast.
+	recent map[string]time.Time
 	// versions are the newest announced versions of adapters.
 	versions map[string]int64
 }
 
 // New returns the keeper of a server of which nothing is known yet. A report is due at an instant.
 func New(model string, places int, reportAt time.Time) *Keeper {
-	return &Keeper{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}}
+	return &Keeper{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}, recent: map[string]time.Time{}}
 }
 
 // Model returns the base model of the server.
@@ -514,20 +522,7 @@
 
 // nextLoad loads the adapter that is wanted most, or makes room for it.
 func (keeper *Keeper) nextLoad(now time.Time) (lentilproxy.Order, bool) {
-	best, most := "", -1.0
-	for _, name := range keeper.names() {
-		known := keeper.entries[name]
-		if known.phase != wanted {
-			continue
-		}
-		if now.Sub(known.wantedAt) > wantLifetime {
-			delete(keeper.entries, name)
-			continue
-		}
-		if demand := known.demandNow(now); demand > most {
-			best, most = name, demand
-		}
-	}
+	best := keeper.mostWanted(now)
 	if best == "" || keeper.inTransit() >= MaxInTransit {
 		return lentilproxy.Order{}, false
 	}
@@ -547,6 +542,57 @@
 	return lentilproxy.Order{}, false
 }
 
+// mostWanted returns the adapter to load next, or "". One that the server loads fast comes first.
+func (keeper *Keeper) mostWanted(now time.Time) string {
+	best, fast, most := "", false, -1.0
+	storeBusy := keeper.fromStore() >= MaxFromStore
+	for _, name := range keeper.names() {
+		known := keeper.entries[name]
+		if known.phase != wanted {
+			continue
+		}
+		if now.Sub(known.wantedAt) > wantLifetime {
+			delete(keeper.entries, name)
+			continue
+		}
+		_, kept := keeper.recent[name]
+		if !kept && (storeBusy || fast) {
+			continue
+		}
+		if demand := known.demandNow(now); demand > most || (kept && !fast) {
+			best, fast, most = name, kept, demand
+		}
+	}
+	return best
+}
+
+// fromStore returns the number of adapters on their way from the weight store.
+func (keeper *Keeper) fromStore() int {
+	count := 0
+	for name, known := range keeper.entries {
+		if _, kept := keeper.recent[name]; (known.phase == loading || known.replacing) && !kept {
+			count++
+		}
+	}
+	return count
+}
+
+// left notes that the server has unloaded an adapter, of which it keeps a copy for a while.
+func (keeper *Keeper) left(now time.Time, adapter string) {
+	delete(keeper.entries, adapter)
+	keeper.recent[adapter] = now
+	if len(keeper.recent) <= maxRecent {
+		return
+	}
+	oldest := ""
+	for name, at := range keeper.recent {
+		if oldest == "" || at.Before(keeper.recent[oldest]) {
+			oldest = name
+		}
+	}
+	delete(keeper.recent, oldest)
+}
+
 // nextUnload unloads an adapter whose announcement everybody has got.
 func (keeper *Keeper) nextUnload(now time.Time) (lentilproxy.Order, bool) {
 	name := keeper.oldestRetiring(now)
@@ -650,7 +696,7 @@
 		return
 	}
 	if order.Kind == lentilproxy.Unload {
-		delete(keeper.entries, order.Ref.Adapter)
+		keeper.left(now, order.Ref.Adapter)
 		if !keeper.repeated {
 			// An unload that is done at once counts as an order that was accepted.
 			keeper.sequence++
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -37,8 +37,10 @@
 	// Timeout bounds the time until the end of an answer.
 	Timeout time.Duration
 	// Objective is the latency that callers expect, to the first event of a stream.
-	Objective   time.Duration
-	MaxAttempts int
+	Objective time.Duration
+	// GapObjective is the longest pause between events that callers expect of a stream.
+	GapObjective time.Duration
+	MaxAttempts  int
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Open routes need no key.
@@ -51,6 +53,22 @@
 // Repeatable says whether a request may be sent again after it may have run.
 func (route *Route) Repeatable() bool { return route.Kind == Idempotent }
 
+const (
+	// minPatience, objectivePatience and gapPatience say when callers abandon a stream without an event: after the longest
+	// of two seconds, four objectives and eight pauses.
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// Patience returns how long callers wait for the first event of a stream, or for the whole of another answer.
+func (route *Route) Patience() time.Duration {
+	if route.Kind != Streaming {
+		return route.Timeout
+	}
+	return min(route.Timeout, max(minPatience, objectivePatience*route.Objective, gapPatience*route.GapObjective))
+}
+
 // Model is a base model with its adapters.
 type Model struct {
 	Name      string
--- a/io/coord/want.go
+++ b/io/coord/want.go
@@ -114,7 +114,7 @@
 	startedAt := clock.Now()
 	result := control.awaitWish(ctx, params)
 	waited := clock.Now().Sub(startedAt)
-	if result.Outcome == WantReady && waited < slowWant {
+	if waited < slowWant {
 		return result
 	}
 	control.coordinator.do(func(now time.Time) {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -20,9 +20,11 @@
 	// maxTries bounds the servers that are considered for one request, those included that could not be reached.
 	maxTries = 6
 	// serverCheck is the time between two looks for a server that can take a request.
-	serverCheck = 60 * time.Millisecond
+	serverCheck = 120 * time.Millisecond
 	// patiencePart is the part of its time that a request waits for a server before it is refused.
-	patiencePart = 0.3
+	patiencePart = 0.15
+	// firstMargin is the time that an answer needs from the arrival of its adapter to its first event.
+	firstMargin = 150 * time.Millisecond
 	// minLeft is the least time that must be left for a request to be worth sending.
 	minLeft = 5 * time.Millisecond
 	// maxWholeBytes bounds an answer that is read whole before it is passed on.
@@ -135,9 +137,8 @@
 	if choice.Copy != "" {
 		call.service.coordinator.Copy(call.view.Servers[choice.Copy], call.ask.Model.Adapter)
 	}
-	if call.target.Engine != nil && choice.Expected > call.left() {
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded,
-			"the backend servers are too busy to answer in time").After(choice.Expected - call.left())
+	if wait := choice.Expected - call.firstBy.Sub(now); call.target.Engine != nil && wait > 0 && !call.exchange.Begun() {
+		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time").After(wait)
 	}
 	return choice, nil
 }
@@ -145,7 +146,9 @@
 // load has the adapter loaded on a server. It says whether the request can be sent there.
 func (call *call) load(choice sched.Choice) bool {
 	startedAt := clock.Now()
-	outcome := call.service.coordinator.Want(call.ctx, choice.Server, call.ask.Model.Adapter)
+	ctx, cancel := context.WithTimeout(call.ctx, call.firstBy.Sub(startedAt)-firstMargin)
+	defer cancel()
+	outcome := call.service.coordinator.Want(ctx, choice.Server, call.ask.Model.Adapter)
 	call.loadTime += clock.Now().Sub(startedAt)
 	call.service.metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("adapter_wishes").Inc(1)
 	if outcome == coord.WantReady {
@@ -159,7 +162,7 @@
 // It says no once the request should rather be refused: a caller that comes back costs more than a short wait, but must
 // learn early that it is refused.
 func (call *call) waitForServer() bool {
-	patience := time.Duration(patiencePart * float64(call.deadline.Sub(call.arrived)))
+	patience := time.Duration(patiencePart * float64(call.firstBy.Sub(call.arrived)))
 	if clock.Now().Add(serverCheck).After(call.arrived.Add(patience)) {
 		return false
 	}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -89,6 +89,8 @@
 	// workspace is empty on open routes.
 	workspace spec.Workspace
 	deadline  time.Time
+	// firstBy is when the caller stops waiting for the beginning of an answer.
+	firstBy time.Time
 	// cost is what the request takes of its workspace's limit.
 	cost float64
 	// digest identifies requests with the same caller and content, over attempts of the caller.
@@ -152,6 +154,10 @@
 	if ask.Deadline > 0 && ask.Deadline < call.route.Timeout {
 		call.deadline = call.arrived.Add(ask.Deadline)
 	}
+	call.firstBy = call.arrived.Add(call.route.Patience())
+	if call.deadline.Before(call.firstBy) {
+		call.firstBy = call.deadline
+	}
 	if refusal := call.authenticate(); refusal != nil {
 		return refusal
 	}
