--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -58,8 +58,6 @@
 	book     *Book
 	pausedTo time.Time
 	cutTo    time.Time
-	// orderAt is when an order that passed its check before a pause is sent.
-	lastOrder map[string]time.Time
 }
 
 func newHost(name string) *host {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -337,16 +337,19 @@
 	case known.phase == ready && !known.replacing && keeper.inUse(now, adapter):
 		// Requests run on the version before; it is loaded elsewhere meanwhile.
 		return WishFull
-	case known.phase == wanted && (keeper.blocked(now) || keeper.wishes() > maxWanted):
+	case known.phase == wanted && (keeper.blocked(now) || keeper.wishes() > maxWanted || keeper.occupied(now)):
 		delete(keeper.entries, adapter)
 		return WishFull
-	case known.phase == wanted && keeper.synced && keeper.taken() >= keeper.places && keeper.allRunning(now) && !keeper.makingRoom():
-		return WishFull
 	default:
 		return WishPending
 	}
 }
 
+// occupied says whether requests run on all that the server holds, so that no place becomes free soon.
+func (keeper *Keeper) occupied(now time.Time) bool {
+	return keeper.synced && keeper.taken() >= keeper.places && !keeper.makingRoom() && keeper.allRunning(now)
+}
+
 // blocked says whether the server has taken no orders for a while.
 func (keeper *Keeper) blocked(now time.Time) bool {
 	return keeper.busy > 0 && now.Sub(keeper.busySince) > maxBlocked
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -90,12 +90,11 @@
 			control.returned = now
 		}
 	}
-	changed := false
+	take := copied.Apply
 	if whole {
-		changed = copied.Replace(page)
-	} else {
-		changed = copied.Apply(page)
+		take = copied.Replace
 	}
+	changed := take(page)
 	if changed || len(control.lapsed) > 0 {
 		control.publish(now)
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -46,6 +46,7 @@
 var testLimits = spec.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 2 * time.Second}
 
 func newServer(t *testing.T, echo *echo) (*Server, string) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -57,6 +58,7 @@
 
 // exchangeRaw sends bytes and returns the status line, or "" if the connection ended without an answer.
 func exchangeRaw(t *testing.T, address, content string) string {
+	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -129,6 +131,7 @@
 		response, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
 		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
 	}
 	is.Equal(echo.seen(), []string{"GET /1/ ", "POST /2/ abc"})
 }
@@ -163,9 +166,13 @@
 			rest = rest[size:]
 		}
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil || response.StatusCode != http.StatusOK {
+		if err != nil {
 			t.Fatalf("no answer: %v", err)
 		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("got status %d", response.StatusCode)
+		}
 		seen := echo.seen()
 		if last := seen[len(seen)-1]; last != "POST /b/ "+string(body) {
 			t.Fatalf("got %q", last)
@@ -210,6 +217,7 @@
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
 	server.Drain()
 	close(finish)
 	content, err := io.ReadAll(response.Body)
@@ -217,7 +225,7 @@
 	is.Equal(string(content), "first")
 	_, _ = io.WriteString(conn, "GET /2/ HTTP/1.1\r\nHost: a\r\n\r\n")
 	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	_, err = http.ReadResponse(reader, nil)
+	_, err = reader.ReadByte()
 	is.True(err != nil)
 	is.Equal(len(echo.seen()), 1)
 }
@@ -247,6 +255,7 @@
 	close(finish)
 	response, err := http.ReadResponse(bufio.NewReader(busy), nil)
 	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.True(response.Close)
 	_, err = net.Dial("tcp", address)
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -94,6 +94,7 @@
 
 func (response *Response) readHead(request *Request) error {
 	for {
+		//nolint:bodyclose // The connection of the body ends or is kept by Close.
 		read, err := http.ReadResponse(response.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return err
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -26,6 +26,7 @@
 
 // newScript serves connections with a function that gets each request's ID and writes what it likes.
 func newScript(t *testing.T, serve func(conn net.Conn, number int, id string) bool) *script {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -80,6 +81,7 @@
 }
 
 func newPool(t *testing.T, options ...Option) *Pool {
+	t.Helper()
 	pool := New(options...)
 	t.Cleanup(pool.Close)
 	return pool
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -53,49 +53,63 @@
 		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeCrashSuspect, "the request has crashed backend servers")
 	}
 	last := refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server could take the request").After(capacityWait)
-	for tries := 0; tries < maxTries; {
-		if call.ctx.Err() != nil || call.left() < minLeft {
-			return call.late(last)
-		}
-		choice, refusal := call.choose()
+	for range maxTries {
+		server, refusal := call.place(last)
 		if refusal != nil {
-			last = worse(last, refusal)
-			if refusal.Code() == refuse.CodeOverloaded || !call.waitForServer() {
-				return last
-			}
-			continue
-		}
-		if choice.Load && !call.load(choice) {
-			continue
+			return refusal
 		}
-		tries++
 		if call.arrivals > 0 && !traffic.Retry(clock.Now(), call.target.Name) {
 			call.service.metrics.Counter("retries_denied").Inc(1)
 			return last
 		}
-		result, refusal := call.try(choice.Server)
-		switch result {
-		case finished:
+		result, refusal := call.try(server)
+		if result == finished {
 			return nil
-		case unsent:
-			call.avoid.Add(choice.Server.ID)
-			last = worse(last, refusal)
-		case declined:
-			call.arrivals++
-			last = worse(last, refusal)
-		case failed:
-			call.arrivals++
-			call.runs++
-			call.avoid.Add(choice.Server.ID)
-			last = worse(last, refusal)
-			if !call.repeatable() || call.runs >= call.route.MaxAttempts {
-				return last
-			}
+		}
+		last = worse(last, refusal)
+		if !call.mayGoOn(result, server) {
+			return last
 		}
 	}
 	return last
 }
 
+// place finds a server that can run the request and has its adapter loaded there. The refusal takes in the one that
+// held before.
+func (call *call) place(last *refuse.Refusal) (spec.Server, *refuse.Refusal) {
+	for {
+		if call.ctx.Err() != nil || call.left() < minLeft {
+			return spec.Server{}, call.late(last)
+		}
+		choice, refusal := call.choose()
+		switch {
+		case refusal == nil && (!choice.Load || call.load(choice)):
+			return choice.Server, nil
+		case refusal == nil:
+			continue
+		}
+		last = worse(last, refusal)
+		if refusal.Code() == refuse.CodeOverloaded || !call.waitForServer() {
+			return spec.Server{}, last
+		}
+	}
+}
+
+// mayGoOn counts a try that did not answer the request. It says whether another one may follow.
+func (call *call) mayGoOn(result verdict, server spec.Server) bool {
+	if result != declined {
+		call.avoid.Add(server.ID)
+	}
+	if result != unsent {
+		call.arrivals++
+	}
+	if result == failed {
+		call.runs++
+		return call.repeatable() && call.runs < call.route.MaxAttempts
+	}
+	return true
+}
+
 // repeatable says whether the request may run once more.
 func (call *call) repeatable() bool {
 	return call.route.Repeatable() || (call.route.Kind == spec.Streaming && call.route.Resumable)
