--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -209,8 +209,8 @@
 // Leased says whether the host's own lease runs.
 func (book *Book) Leased(now time.Time) bool { return book.joined && now.Before(book.until) }
 
-// Until returns the end of the host's own lease.
-func (book *Book) Until() time.Time { return book.until }
+// ScannedAt returns when the last scan that was taken in was asked for.
+func (book *Book) ScannedAt() time.Time { return book.scannedAt }
 
 // Holds returns the fencing number for orders to a server, if the host may give them at an instant.
 func (book *Book) Holds(now time.Time, server string) (int64, bool) {
--- a/core/limit/crowd.go
+++ b/core/limit/crowd.go
@@ -15,30 +15,42 @@
 	// isolatedPart is the part of its share that a host uses while the others may have divided it among themselves: even
 	// if all but one are isolated, a quarter of the rate in excess stays within what deployments tolerate.
 	isolatedPart = 0.25
+	// noticeTime is how long a scan of the store counts, and so how long a host that has joined or come back waits until
+	// the others have seen its row. It is longer than the time between two scans.
+	noticeTime = 2500 * time.Millisecond
+	// rememberFor is how long a host that cannot read the store still counts those that it has known.
+	rememberFor = time.Minute
 )
 
 // Crowd decides which part of every limit a host holds, by the hosts that are known to take part.
 //
 // A host counts while its row is in the store, which is until its lease has surely ended, or while it is heard. A host
-// that can neither renew its lease nor reach all the others may be counted by nobody and uses only a part of its share.
+// that can neither read the store nor reach all the others may be counted by nobody and uses only a part of its share.
 type Crowd struct {
 	self  string
 	rows  value.Set[string]
 	heard map[string]time.Time
 	acked map[string]time.Time
-	// leasedUntil is the end of the host's lease.
-	leasedUntil time.Time
+	// known is when each host was a member last.
+	known map[string]time.Time
+	// scannedAt is when the rows were asked for, and freshSince the first of the scans that followed each other closely.
+	scannedAt  time.Time
+	freshSince time.Time
 }
 
 // NewCrowd returns the crowd of a host that knows nobody yet, not even itself.
 func NewCrowd(self string) *Crowd {
-	return &Crowd{self: self, rows: value.NewSet[string](), heard: map[string]time.Time{}, acked: map[string]time.Time{}}
+	return &Crowd{self: self, rows: value.NewSet[string](), heard: map[string]time.Time{}, acked: map[string]time.Time{}, known: map[string]time.Time{}}
 }
 
-// Rows takes in the hosts that have a row in the store, and the end of the own lease.
-func (crowd *Crowd) Rows(hosts []string, leasedUntil time.Time) {
+// Rows takes in the hosts that have a row in the store, as of a scan that was asked for at an instant.
+func (crowd *Crowd) Rows(scannedAt time.Time, hosts []string) {
+	before := crowd.rows.Has(crowd.self)
 	crowd.rows = value.NewSet(hosts...)
-	crowd.leasedUntil = leasedUntil
+	if !before || scannedAt.Sub(crowd.scannedAt) >= noticeTime {
+		crowd.freshSince = scannedAt
+	}
+	crowd.scannedAt = scannedAt
 }
 
 // Heard takes in a message of another host.
@@ -66,15 +78,39 @@
 		}
 		delete(crowd.heard, host)
 	}
+	for host := range members {
+		crowd.known[host] = now
+	}
+	if crowd.fresh(now) {
+		return members
+	}
+	// Hosts that left may have come back unseen.
+	for host, at := range crowd.known {
+		if now.Sub(at) < rememberFor {
+			members.Add(host)
+			continue
+		}
+		delete(crowd.known, host)
+	}
 	return members
 }
 
-// Isolated says whether others may divide this host's share among themselves.
+// fresh says whether the host knows from the store who takes part, and the others know of it.
+func (crowd *Crowd) fresh(now time.Time) bool {
+	return crowd.rows.Has(crowd.self) && now.Sub(crowd.scannedAt) < noticeTime && now.Sub(crowd.freshSince) >= noticeTime
+}
+
+// Isolated says whether others may still, or again, divide this host's share among themselves.
 func (crowd *Crowd) Isolated(now time.Time) bool {
-	if now.Before(crowd.leasedUntil) {
+	if crowd.fresh(now) {
 		return false
 	}
-	for host := range crowd.members(now) {
+	members := crowd.members(now)
+	if len(members) < 2 {
+		// Nobody is left who could know of others.
+		return true
+	}
+	for host := range members {
 		if host != crowd.self && now.Sub(crowd.acked[host]) >= ackedFor {
 			return true
 		}
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -295,6 +295,8 @@
 		control.countUsed(now, message.Used)
 		control.countRunning(now, message.Host, message.Running)
 		control.crowd.Heard(now, message.Host)
+		// The answer allows the sender its share, so that this host must have given it up before.
+		control.shareLimits(now)
 		control.coordinator.traffic.peer(now, message)
 		result = digestResult{Operators: control.operators.Newest(), Servers: control.servers.Newest()}
 		if peer := control.peers[message.Host]; peer != nil {
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -138,11 +138,11 @@
 	for _, host := range hosts {
 		names = append(names, host.Name)
 	}
-	control.crowd.Rows(names, control.book.Until())
+	control.crowd.Rows(control.book.ScannedAt(), names)
 	members, fraction, isolated := control.crowd.Members(now), control.crowd.Fraction(now), control.crowd.Isolated(now)
 	if isolated != control.isolated || members != control.members {
 		control.coordinator.log.Info("limits divided", "members", members, "before", control.members, "isolated", isolated,
-			"leased_ms", control.book.Until().Sub(now).Milliseconds())
+			"scan_age_ms", now.Sub(control.book.ScannedAt()).Milliseconds())
 	}
 	control.members, control.isolated = members, isolated
 	control.coordinator.traffic.share(now, members, fraction)
