Tables of the store are read by one host; the others learn by proofs with an age in digests

A proof's age counts from the sending of the question, so that a late answer proves nothing; a host reads by itself once the proofs are too old.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -22,8 +22,8 @@
 const (
 	// Table is the table of hosts and holders.
 	Table = "fleet"
-	// RenewInterval is the time between two renewals: three of them may be lost before a lease ends.
-	RenewInterval = 1500 * time.Millisecond
+	// RenewInterval is the time between two renewals: two of them may be lost before a lease ends.
+	RenewInterval = 2 * time.Second
 	// Term is how long a renewal lasts for its host. It is longer than most outages of the store, so that these do not
 	// stop the loading of adapters.
 	Term = 6 * time.Second
@@ -84,6 +84,8 @@
 	// until is the end of the host's own lease.
 	until    time.Time
 	joinedAt time.Time
+	// renewedAt is when the last renewal was known to have taken effect.
+	renewedAt time.Time
 	hosts    map[string]seenHost
 	holders  map[string]seenHolder
 	// claims maps the servers that this host holds to the fencing numbers of its orders.
@@ -135,7 +137,8 @@
 func (book *Book) reconcile() {
 	own, found := book.hosts[book.self.Name]
 	if !found || own.host.Run != book.self.Run {
-		if book.joined && (!found || own.version > book.version) {
+		// Rows from before the last renewal do not count against it.
+		if book.joined && book.scannedAt.After(book.renewedAt) {
 			book.lose()
 		}
 	} else if own.version > book.version {
@@ -169,11 +172,12 @@
 	}
 }
 
-// Renewed takes in that the renewal sent at an instant has taken effect.
-func (book *Book) Renewed(sentAt time.Time, version int64) {
+// Renewed takes in that the renewal sent at an instant has taken effect by now.
+func (book *Book) Renewed(sentAt, now time.Time, version int64) {
 	if version < book.version {
 		return
 	}
+	book.renewedAt = now
 	if !book.joined {
 		book.joinedAt = sentAt
 	}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -85,7 +85,7 @@
 		book.RenewalRefused(now, result.Conflicts)
 		return
 	}
-	book.Renewed(now, result.Version)
+	book.Renewed(now, now, result.Version)
 	book.Observe(now, now, store.scan())
 	if expulsion, _, found := book.Expulsion(); found {
 		store.commit(expulsion)
--- a/core/spec/server.go
+++ b/core/spec/server.go
@@ -1,6 +1,9 @@
 package spec
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Server is a registered backend server.
 type Server struct {
@@ -21,6 +24,21 @@
 	Sequence int64
 }
 
+// Same says whether an entry says the same as another one, but for its counts and the adapters, which its holder knows
+// better.
+func (server Server) Same(other Server) bool {
+	if len(server.Holdings) != len(other.Holdings) {
+		return false
+	}
+	for index, holding := range server.Holdings {
+		if holding.Model != other.Holdings[index].Model {
+			return false
+		}
+	}
+	server.Holdings, other.Holdings, server.Sequence, other.Sequence = nil, nil, 0, 0
+	return reflect.DeepEqual(server, other)
+}
+
 // Life identifies one start of a server.
 type Life struct {
 	ID   string `json:"id"`
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -24,7 +24,6 @@
 	"lentilproxy"
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
-	"lentilproxy/core/mirror"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/io/clock"
@@ -83,15 +82,18 @@
 // control is the state that the control goroutine owns.
 type control struct {
 	coordinator *Coordinator
-	operators   *mirror.Mirror
-	servers     *mirror.Mirror
+	operators   *copied
+	servers     *copied
+	fleet       *copied
 	// configVersion is the row version of the configuration that was decoded last.
 	configVersion int64
 	book          *lease.Book
 	keepers       map[string]*keeper
 	peers         map[string]*peerState
-	// outages are the times since which the tables cannot be read.
-	outages map[string]time.Time
+	// renewalLost is since when the lease could not be renewed.
+	renewalLost time.Time
+	// decoded are the servers of the mirror by their keys.
+	decoded map[string]decodedServer
 	// lapsed are servers whose entries went while the store was away, with the time until which they stay in use.
 	lapsed   map[string]time.Time
 	returned time.Time
@@ -121,20 +123,23 @@
 	}
 	coordinator.peers = peer.NewPool(coordinator.meter, poolOptions...)
 	coordinator.traffic = newTraffic(coordinator)
+	operators, servers := platform.Source.Tables()
 	control := &control{
-		coordinator: coordinator, operators: mirror.New(), servers: mirror.New(),
+		coordinator: coordinator, operators: newCopied(operators, operatorsAge), servers: newCopied(servers, serversAge),
+		fleet: newCopied(lease.Table, fleetAge),
 		book: lease.New(lease.Host{
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, Run: coordinator.run,
 		}, settings.Bounds.LeaseGap),
-		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, outages: map[string]time.Time{},
+		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, decoded: map[string]decodedServer{},
 		lapsed: map[string]time.Time{}, faults: map[string]int64{}, crowd: limit.NewCrowd(settings.Host.Name),
 	}
 	coordinator.traffic.control = control
 	coordinator.server = peer.NewServer(listener, coordinator.meter, control.handle)
-	operators, servers := platform.Source.Tables()
+	control.servers.filter = control.serverChanged
 	coordinator.start(control.runTasks)
-	coordinator.start(func() { control.follow(operators, control.operators, 0) })
-	coordinator.start(func() { control.follow(servers, control.servers, serversInterval) })
+	for _, table := range control.tables() {
+		coordinator.start(func() { control.follow(table) })
+	}
 	coordinator.start(control.keepLeases)
 	coordinator.start(control.sendDigests)
 	go func() {
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -36,9 +36,8 @@
 // digest is what a host tells its peers.
 type digest struct {
 	Host string `json:"host"`
-	// Operators and Servers are the newest row versions that the host knows.
-	Operators int64 `json:"operators"`
-	Servers   int64 `json:"servers"`
+	// Newest holds the newest row version that the host knows of each table.
+	Newest map[string]int64 `json:"newest"`
 	// Usage is what the host's requests take on servers.
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
 	// Used counts requests for adapters on servers that the receiver holds.
@@ -54,19 +53,24 @@
 	Held sched.Held `json:"held"`
 }
 
+// proof says that a host knows a table up to a version, which was the newest one some time ago.
+type proof struct {
+	Newest int64 `json:"newest"`
+	AgeMS  int64 `json:"age_ms"`
+}
+
 type digestResult struct {
-	Operators int64 `json:"operators"`
-	Servers   int64 `json:"servers"`
+	Proofs map[string]proof `json:"proofs"`
 }
 
 type rowsParams struct {
-	Operators int64 `json:"operators"`
-	Servers   int64 `json:"servers"`
+	// After holds the newest row version that the asking host knows of each table that it asks for.
+	After map[string]int64 `json:"after"`
 }
 
 type rowsResult struct {
-	Operators []lentilproxy.Row `json:"operators,omitempty"`
-	Servers   []lentilproxy.Row `json:"servers,omitempty"`
+	Rows   map[string][]lentilproxy.Row `json:"rows"`
+	Proofs map[string]proof             `json:"proofs"`
 }
 
 type borrowParams struct {
@@ -171,9 +175,12 @@
 		clear(peer.told)
 	}
 	message := digest{
-		Host: control.coordinator.settings.Host.Name, Operators: control.operators.Newest(), Servers: control.servers.Newest(),
+		Host: control.coordinator.settings.Host.Name, Newest: map[string]int64{},
 		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Held: map[string]heldUpdate{},
 	}
+	for _, table := range control.tables() {
+		message.Newest[table.table] = table.Newest()
+	}
 	for server := range control.coordinator.View().Servers {
 		if holder, found := control.book.Holder(server); !found || holder.Name != peer.name {
 			continue
@@ -202,7 +209,7 @@
 	var result digestResult
 	sentAt := clock.Now()
 	err := coordinator.peers.Call(ctx, peer.address, methodDigest, message, &result)
-	coordinator.post(func(time.Time) {
+	coordinator.post(func(now time.Time) {
 		peer.busy = false
 		if err == nil {
 			control.crowd.Acked(sentAt, peer.name)
@@ -217,7 +224,7 @@
 		for name, revision := range told {
 			peer.told[name] = max(peer.told[name], revision)
 		}
-		control.compare(peer, result.Operators, result.Servers)
+		control.compare(now, sentAt, peer, result.Proofs)
 	})
 }
 
@@ -229,36 +236,78 @@
 	control.coordinator.log.Info("dependency regained", "dependency", "peer", "peer", peer.name)
 }
 
-// compare asks a peer for rows that it knows and this host does not.
-func (control *control) compare(peer *peerState, operators, servers int64) {
-	// Servers change all the time; a peer's rows of them matter only while the store cannot be read.
-	_, tableServers := control.coordinator.source.Tables()
-	_, blind := control.outages[tableServers]
-	newer := operators > control.operators.Newest() || (blind && servers > control.servers.Newest())
-	if peer.pulling || !newer {
-		return
+// compare takes in a peer's proofs about tables that this host knows as well, and asks for the rows of the others.
+func (control *control) compare(now, askedAt time.Time, peer *peerState, proofs map[string]proof) {
+	params := rowsParams{After: map[string]int64{}}
+	for _, table := range control.tables() {
+		known, found := proofs[table.table]
+		switch {
+		case !found:
+		case known.Newest > table.Newest():
+			params.After[table.table] = table.Newest()
+		case known.AgeMS >= 0:
+			control.took(now, askedAt.Add(-time.Duration(known.AgeMS)*time.Millisecond), table, false)
+		}
+	}
+	if !peer.pulling && len(params.After) > 0 {
+		peer.pulling = true
+		go control.pull(peer, params)
 	}
-	peer.pulling = true
-	params := rowsParams{Operators: control.operators.Newest(), Servers: control.servers.Newest()}
-	go func() {
-		ctx, cancel := context.WithTimeout(control.coordinator.ctx, peerTimeout)
-		defer cancel()
-		var result rowsResult
-		err := control.coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
-		control.coordinator.post(func(now time.Time) {
-			peer.pulling = false
-			if err != nil {
-				return
+}
+
+// compareNewest asks a peer for rows that it has announced.
+func (control *control) compareNewest(peer *peerState, newest map[string]int64) {
+	proofs := map[string]proof{}
+	for table, version := range newest {
+		// What a message says of its age cannot be told, as it may have been under way for long.
+		proofs[table] = proof{Newest: version, AgeMS: -1}
+	}
+	control.compare(clock.Now(), time.Time{}, peer, proofs)
+}
+
+// pull asks a peer for rows.
+func (control *control) pull(peer *peerState, params rowsParams) {
+	coordinator := control.coordinator
+	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
+	defer cancel()
+	askedAt := clock.Now()
+	var result rowsResult
+	err := coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
+	coordinator.post(func(now time.Time) {
+		peer.pulling = false
+		if err != nil {
+			return
+		}
+		for _, table := range control.tables() {
+			provenAt := table.provenAt
+			if known := result.Proofs[table.table]; known.AgeMS >= 0 && known.Newest > 0 {
+				provenAt = askedAt.Add(-time.Duration(known.AgeMS) * time.Millisecond)
 			}
-			changed := control.operators.Merge(result.Operators)
-			changed = control.servers.Merge(result.Servers) || changed
-			if changed {
-				control.coordinator.log.Info("rows from a peer", "peer", peer.name, "operators", len(result.Operators), "servers", len(result.Servers),
-					"version", control.operators.Newest())
-				control.publish(now)
+			rows, asked := result.Rows[table.table]
+			if !asked {
+				continue
 			}
-		})
-	}()
+			changed := table.Merge(rows)
+			if changed && table.table != control.fleet.table {
+				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.table, "rows", len(rows), "version", table.Newest())
+			}
+			control.took(now, provenAt, table, changed)
+		}
+	})
+}
+
+// proofs returns what this host can prove of its mirrors.
+func (control *control) proofs(now time.Time) map[string]proof {
+	proofs := map[string]proof{}
+	for _, table := range control.tables() {
+		age := int64(-1)
+		if !table.provenAt.IsZero() {
+			// Rounded up, so that no proof becomes younger by being told.
+			age = now.Sub(table.provenAt).Milliseconds() + 1
+		}
+		proofs[table.table] = proof{Newest: table.Newest(), AgeMS: age}
+	}
+	return proofs
 }
 
 // handle answers a call of a peer.
@@ -298,9 +347,9 @@
 		// The answer allows the sender its share, so that this host must have given it up before.
 		control.shareLimits(now)
 		control.coordinator.traffic.peer(now, message)
-		result = digestResult{Operators: control.operators.Newest(), Servers: control.servers.Newest()}
+		result = digestResult{Proofs: control.proofs(now)}
 		if peer := control.peers[message.Host]; peer != nil {
-			control.compare(peer, message.Operators, message.Servers)
+			control.compareNewest(peer, message.Newest)
 		}
 	})
 	return result
@@ -308,8 +357,13 @@
 
 func (control *control) rowsSince(params rowsParams) rowsResult {
 	var result rowsResult
-	control.coordinator.do(func(time.Time) {
-		result = rowsResult{Operators: control.operators.Since(params.Operators), Servers: control.servers.Since(params.Servers)}
+	control.coordinator.do(func(now time.Time) {
+		result = rowsResult{Rows: map[string][]lentilproxy.Row{}, Proofs: control.proofs(now)}
+		for _, table := range control.tables() {
+			if after, asked := params.After[table.table]; asked {
+				result.Rows[table.table] = table.Since(after)
+			}
+		}
 	})
 	return result
 }
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -33,6 +33,7 @@
 	joined := false
 	coordinator.do(func(time.Time) { joined = control.book.Joined() })
 	if !joined && !control.scanFleet() {
+		// Whoever joins must have seen who is there.
 		return false
 	}
 	var renewal lentilproxy.Transaction
@@ -45,7 +46,7 @@
 	if err != nil || !result.Committed {
 		return false
 	}
-	return control.scanFleet() && control.claim()
+	return control.claim()
 }
 
 func (control *control) renewed(sentAt, now time.Time, result lentilproxy.CommitResult, err error) {
@@ -54,8 +55,8 @@
 	switch {
 	case err != nil:
 		coordinator.metrics.Counter("lease_renewals_failed").Inc(1)
-		if !leased && control.outages[lease.Table].IsZero() {
-			control.outages[lease.Table] = sentAt
+		if !leased && control.renewalLost.IsZero() {
+			control.renewalLost = sentAt
 			coordinator.log.Info("dependency lost", "dependency", "lease", "error", err.Error(), "held", len(control.book.Held()))
 		}
 	case !result.Committed:
@@ -64,16 +65,16 @@
 			control.updateKeepers(now, coordinator.View())
 		}
 	default:
-		control.book.Renewed(sentAt, result.Version)
+		control.book.Renewed(sentAt, now, result.Version)
 		coordinator.leaseUntil.Store(sentAt.Add(lease.Term).UnixNano())
-		if since, lost := control.outages[lease.Table]; lost {
-			delete(control.outages, lease.Table)
-			coordinator.log.Info("dependency regained", "dependency", "lease", "away_ms", now.Sub(since).Milliseconds())
+		if !control.renewalLost.IsZero() {
+			coordinator.log.Info("dependency regained", "dependency", "lease", "away_ms", now.Sub(control.renewalLost).Milliseconds())
+			control.renewalLost = time.Time{}
 		}
 	}
 }
 
-// scanFleet reads the rows of hosts and holders.
+// scanFleet reads the rows of hosts and holders before the host joins.
 func (control *control) scanFleet() bool {
 	coordinator := control.coordinator
 	sentAt := clock.Now()
@@ -82,12 +83,21 @@
 		coordinator.metrics.Counter("fleet_scans_failed").Inc(1)
 		return false
 	}
-	return coordinator.do(func(now time.Time) {
-		control.book.Observe(sentAt, now, page.Rows)
-		control.updatePeers(now)
-		control.updateKeepers(now, coordinator.View())
-		control.shareLimits(now)
-	})
+	return coordinator.do(func(now time.Time) { control.took(now, sentAt, control.fleet, control.fleet.Replace(page)) })
+}
+
+// observeFleet takes the mirrored rows of hosts and holders in.
+func (control *control) observeFleet(now time.Time) {
+	rows := make([]lentilproxy.Row, 0, len(control.fleet.Rows()))
+	for _, row := range control.fleet.Rows() {
+		if !row.Deleted {
+			rows = append(rows, row)
+		}
+	}
+	control.book.Observe(control.fleet.provenAt, now, rows)
+	control.updatePeers(now)
+	control.updateKeepers(now, control.coordinator.View())
+	control.shareLimits(now)
 }
 
 // claim expels hosts whose leases have ended, and claims servers.
@@ -100,7 +110,7 @@
 	if !coordinator.do(func(now time.Time) {
 		expulsion, expelled, expel = control.book.Expulsion()
 		claims, wanted = control.book.Claims(now, control.engines())
-		if control.book.Leased(now) && len(control.outages) == 0 {
+		if control.book.Leased(now) && control.servers.lostSince.IsZero() {
 			cleanup, clean = control.book.Cleanup(control.present)
 		}
 	}) {
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -2,20 +2,25 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/lease"
 	"lentilproxy/core/mirror"
 	"lentilproxy/io/clock"
 )
 
 const (
-	// changesWait is how long the store may keep a question for changes waiting. A connection that fell silent is noticed
-	// after it, which has to fit into the time in which a configuration is in force.
-	changesWait = 1200 * time.Millisecond
-	// serversInterval is the least time between two questions for changed servers: their entries change all the time, and
-	// a server that leaves may get requests for 2 s.
-	serversInterval = 500 * time.Millisecond
+	// operatorsAge, serversAge and fleetAge are the ages of a proof from which on a host reads a table itself. Changes of
+	// the operators and leaving servers have to be known within 2 s; the rows of hosts only have to stay fresh for limits.
+	operatorsAge = 450 * time.Millisecond
+	serversAge   = 500 * time.Millisecond
+	fleetAge     = time.Second
+	// rankAge is added for each host that comes before in the order of names, so that usually only the first one reads and
+	// the others learn from its digests; maxRank bounds the sum.
+	rankAge = 350 * time.Millisecond
+	maxRank = 2
 	// minRetry and maxRetry bound the wait after a failed call; it doubles.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
@@ -25,22 +30,51 @@
 	outageAfter = time.Second
 )
 
-// follow keeps a mirror of one table: a scan, then the changes from there on.
-func (control *control) follow(table string, copied *mirror.Mirror, interval time.Duration) {
+// copied is a mirror of a table with the proof of its age.
+type copied struct {
+	*mirror.Mirror
+	table string
+	// readAge is the age of the proof from which on the host reads the table itself.
+	readAge time.Duration
+	// provenAt is the latest instant as of which the mirror is known to be complete, by a read of this host or of a peer.
+	provenAt time.Time
+	// lostSince is when the first of the failed reads since the last good one was sent.
+	lostSince time.Time
+	// filter drops rows whose change does not matter.
+	filter func(row lentilproxy.Row) bool
+}
+
+func newCopied(table string, readAge time.Duration) *copied {
+	return &copied{Mirror: mirror.New(), table: table, readAge: readAge}
+}
+
+// follow keeps a mirror of one table, by reading it whenever no proof of another host is young enough: a scan first,
+// then the changes from there on.
+func (control *control) follow(table *copied) {
 	coordinator := control.coordinator
 	scan, after, retry := true, int64(0), minRetry
 	for coordinator.ctx.Err() == nil {
+		var rest time.Duration
+		if !coordinator.do(func(now time.Time) { rest = control.untilRead(now, table) }) {
+			return
+		}
+		if rest > 0 {
+			if !coordinator.pause(rest) {
+				return
+			}
+			continue
+		}
 		var page lentilproxy.Page
 		var err error
 		askedAt := clock.Now()
 		if scan {
-			page, err = coordinator.rows.Scan(coordinator.ctx, table)
+			page, err = coordinator.rows.Scan(coordinator.ctx, table.table)
 		} else {
-			page, err = coordinator.rows.Changes(coordinator.ctx, table, after, changesWait)
+			page, err = coordinator.rows.Changes(coordinator.ctx, table.table, after, 0)
 		}
 		switch {
 		case errors.Is(err, lentilproxy.ErrHistoryLost):
-			coordinator.log.Info("history dropped; scanning", "table", table, "after", after)
+			coordinator.log.Info("history dropped; scanning", "table", table.table, "after", after)
 			scan = true
 			continue
 		case err != nil:
@@ -51,51 +85,81 @@
 			retry = min(2*retry, maxRetry)
 			continue
 		}
-		retry = minRetry
 		whole := scan
-		if !coordinator.do(func(now time.Time) { control.readPage(now, table, copied, page, whole) }) {
-			return
-		}
-		scan, after = false, page.Version
-		if rest := interval - clock.Now().Sub(askedAt); rest > 0 && !coordinator.pause(rest) {
+		if !coordinator.do(func(now time.Time) { control.readPage(now, askedAt, table, page, whole) }) {
 			return
 		}
+		scan, after, retry = false, page.Version, minRetry
 	}
 }
 
-// unreadable notes that a table cannot be read.
-func (control *control) unreadable(now time.Time, table string, askedAt time.Time, err error) {
-	if _, known := control.outages[table]; known {
-		return
+// untilRead returns the time until this host should read a table itself.
+func (control *control) untilRead(now time.Time, table *copied) time.Duration {
+	if table.provenAt.IsZero() {
+		return 0
 	}
-	control.outages[table] = askedAt
-	control.coordinator.log.Info("dependency lost", "dependency", "store", "table", table, "error", err.Error(),
-		"version", control.mirrorOf(table).Newest(), "at_ms", now.UnixMilli())
+	threshold := table.readAge + min(control.rank(), maxRank)*rankAge
+	return table.provenAt.Add(threshold).Sub(now)
 }
 
-func (control *control) mirrorOf(table string) *mirror.Mirror {
-	if operators, _ := control.coordinator.source.Tables(); table == operators {
-		return control.operators
+// rank returns the number of hosts that come before this one in the order of names.
+func (control *control) rank() time.Duration {
+	names := make([]string, 0, len(control.peers))
+	for name := range control.peers {
+		names = append(names, name)
 	}
-	return control.servers
+	slices.Sort(names)
+	index, _ := slices.BinarySearch(names, control.coordinator.settings.Host.Name)
+	return time.Duration(index)
+}
+
+// unreadable notes that a table cannot be read.
+func (control *control) unreadable(now time.Time, table *copied, askedAt time.Time, err error) {
+	if !table.lostSince.IsZero() {
+		return
+	}
+	table.lostSince = askedAt
+	control.coordinator.log.Info("dependency lost", "dependency", "store", "table", table.table, "error", err.Error(),
+		"version", table.Newest(), "proof_age_ms", now.Sub(table.provenAt).Milliseconds())
 }
 
 // readPage takes a page of the store in.
-func (control *control) readPage(now time.Time, table string, copied *mirror.Mirror, page lentilproxy.Page, whole bool) {
-	if since, lost := control.outages[table]; lost {
-		delete(control.outages, table)
-		away := now.Sub(since)
-		control.coordinator.log.Info("dependency regained", "dependency", "store", "table", table, "away_ms", away.Milliseconds(), "version", page.Version)
-		if copied == control.servers && away > outageAfter {
+func (control *control) readPage(now, askedAt time.Time, table *copied, page lentilproxy.Page, whole bool) {
+	if !table.lostSince.IsZero() {
+		away := now.Sub(table.lostSince)
+		table.lostSince = time.Time{}
+		control.coordinator.log.Info("dependency regained", "dependency", "store", "table", table.table, "away_ms", away.Milliseconds(),
+			"version", page.Version)
+		if table == control.servers && away > outageAfter {
 			control.returned = now
 		}
 	}
-	take := copied.Apply
+	if table.filter != nil {
+		page.Rows = slices.DeleteFunc(page.Rows, func(row lentilproxy.Row) bool { return !whole && !table.filter(row) })
+	}
+	take := table.Apply
 	if whole {
-		take = copied.Replace
+		take = table.Replace
 	}
-	changed := take(page)
-	if changed || len(control.lapsed) > 0 {
+	control.took(now, askedAt, table, take(page))
+}
+
+// took publishes what has changed in a table that was proven to be complete as of an instant.
+func (control *control) took(now, provenAt time.Time, table *copied, changed bool) {
+	if provenAt.After(table.provenAt) {
+		table.provenAt = provenAt
+	}
+	switch {
+	case table == control.fleet:
+		if changed || provenAt.Sub(control.book.ScannedAt()) >= lease.RenewInterval/2 {
+			control.observeFleet(now)
+		}
+	case changed || (table == control.servers && len(control.lapsed) > 0):
 		control.publish(now)
 	}
 }
+
+// tables returns the mirrors by the names of their tables.
+func (control *control) tables() []*copied {
+	return []*copied{control.operators, control.servers, control.fleet}
+}
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"lentilproxy/core/mirror"
+	"lentilproxy"
 	"lentilproxy/core/spec"
 )
 
@@ -58,19 +58,46 @@
 			continue
 		}
 		delete(control.lapsed, key)
-		server, err := control.coordinator.source.Server(row)
-		if err != nil {
-			if control.faults[key] != row.Version {
-				control.faults[key] = row.Version
-				control.coordinator.log.Error(err, "an entry of a backend server cannot be read", "server", key, "row_version", row.Version)
-			}
-			continue
+		if decoded := control.decodeServer(row); decoded.valid {
+			servers[key] = decoded.server
 		}
-		servers[key] = server
 	}
 	return servers
 }
 
+// decodedServer is an entry of a backend server, valid if it could be read.
+type decodedServer struct {
+	version int64
+	server  spec.Server
+	valid   bool
+}
+
+// decodeServer decodes an entry once.
+func (control *control) decodeServer(row lentilproxy.Row) decodedServer {
+	known, found := control.decoded[row.Key]
+	if found && known.version == row.Version {
+		return known
+	}
+	server, err := control.coordinator.source.Server(row)
+	if err != nil {
+		control.coordinator.log.Error(err, "an entry of a backend server cannot be read", "server", row.Key, "row_version", row.Version)
+	}
+	decoded := decodedServer{version: row.Version, server: server, valid: err == nil}
+	control.decoded[row.Key] = decoded
+	return decoded
+}
+
+// serverChanged says whether a row tells more than that its server is alive.
+func (control *control) serverChanged(row lentilproxy.Row) bool {
+	known, found := control.decoded[row.Key]
+	current, present := control.servers.Rows()[row.Key]
+	if row.Deleted || !found || !known.valid || !present || current.Deleted || known.version != current.Version {
+		return true
+	}
+	server, err := control.coordinator.source.Server(row)
+	return err != nil || !known.server.Same(server)
+}
+
 func (control *control) keepLapsed(now time.Time, server string, grace bool) bool {
 	until, known := control.lapsed[server]
 	if !known && grace {
@@ -99,9 +126,7 @@
 	}
 	for name := range last.Servers {
 		if _, found := next.Servers[name]; !found {
-			log.Info("server gone", "server", name, "row_version", rowVersion(control.servers, name))
+			log.Info("server gone", "server", name, "row_version", control.servers.Rows()[name].Version)
 		}
 	}
 }
-
-func rowVersion(copied *mirror.Mirror, key string) int64 { return copied.Rows()[key].Version }
