--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -86,8 +86,8 @@
 	joinedAt time.Time
 	// renewedAt is when the last renewal was known to have taken effect.
 	renewedAt time.Time
-	hosts    map[string]seenHost
-	holders  map[string]seenHolder
+	hosts     map[string]seenHost
+	holders   map[string]seenHolder
 	// claims maps the servers that this host holds to the fencing numbers of its orders.
 	claims    map[string]int64
 	scannedAt time.Time
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -115,6 +115,14 @@
 	Objectives []Objective
 }
 
+// DefaultBounds returns the bounds of a deployment that declares none.
+func DefaultBounds() Bounds {
+	return Bounds{
+		RetryRatio: DefaultRetryRatio, RetryAllowance: DefaultRetryAllowance, RetryWindow: DefaultRetryWindow,
+		LeaseGap: DefaultLeaseGap, StopGrace: DefaultStopGrace,
+	}
+}
+
 // Parse reads and checks settings. It returns every fault that it finds.
 func Parse(file *decl.File) (*Settings, []decl.Fault) {
 	settings := &Settings{
@@ -123,10 +131,7 @@
 			MaxBodyBytes: DefaultMaxBodyBytes, QueueTimeout: DefaultQueueTimeout,
 			StopTimeout: DefaultStopTimeout, DefaultMaxTokens: DefaultMaxTokens,
 		},
-		Bounds: Bounds{
-			RetryRatio: DefaultRetryRatio, RetryAllowance: DefaultRetryAllowance, RetryWindow: DefaultRetryWindow,
-			LeaseGap: DefaultLeaseGap, StopGrace: DefaultStopGrace,
-		},
+		Bounds: DefaultBounds(),
 	}
 	reader := &reader{settings: settings, seen: map[string]*decl.Section{}}
 	for _, section := range file.Sections() {
--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -36,6 +36,7 @@
 	Service serviceCommand `command:"service" description:"stand-in for a plain service"`
 	Load    loadCommand    `command:"load" description:"run a load experiment and report on it"`
 	Demo    demoCommand    `command:"demo" description:"run the main job on embedded stand-ins"`
+	Hosted  hostedCommand  `command:"hosted" description:"run the main job on a stand-in of the operators' platform"`
 }
 
 // errFailed is the cause of a run that did not go as it should.
@@ -49,6 +50,7 @@
 	options.Engine.out = output
 	options.Service.out = output
 	options.Demo.out = output
+	options.Hosted.out = output
 	options.Load.out = output
 	parser := flags.NewParser(options, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "lentildev"
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -53,12 +53,15 @@
 	view     atomic.Pointer[spec.View]
 	// leaseUntil is the end of the host's lease in nanoseconds of the boot clock, for the last look before an order.
 	leaseUntil atomic.Int64
-	tasks      chan func(now time.Time)
-	ctx        context.Context
-	cancel     context.CancelFunc
-	parts      sync.WaitGroup
-	done       chan struct{}
-	stopOnce   sync.Once
+	// operatorsProven and serversProven are the instants as of which the tables are known, on the same clock.
+	operatorsProven atomic.Int64
+	serversProven   atomic.Int64
+	tasks           chan func(now time.Time)
+	ctx             context.Context
+	cancel          context.CancelFunc
+	parts           sync.WaitGroup
+	done            chan struct{}
+	stopOnce        sync.Once
 }
 
 // Option configures a coordinator.
@@ -172,6 +175,11 @@
 // View returns what the host believes about the deployment.
 func (coordinator *Coordinator) View() *spec.View { return coordinator.view.Load() }
 
+// Ages returns the ages of what the host knows of the operators' rows and of the servers.
+func (coordinator *Coordinator) Ages(now time.Time) (operators, servers time.Duration) {
+	return now.Sub(time.Unix(0, coordinator.operatorsProven.Load())), now.Sub(time.Unix(0, coordinator.serversProven.Load()))
+}
+
 // Traffic returns the state that requests share.
 func (coordinator *Coordinator) Traffic() *Traffic { return coordinator.traffic }
 
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -148,6 +148,8 @@
 func (control *control) took(now, provenAt time.Time, table *copied, changed bool) {
 	if provenAt.After(table.provenAt) {
 		table.provenAt = provenAt
+		control.coordinator.operatorsProven.Store(control.operators.provenAt.UnixNano())
+		control.coordinator.serversProven.Store(control.servers.provenAt.UnixNano())
 	}
 	switch {
 	case table == control.fleet:
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -56,9 +56,11 @@
 // logEnd writes how a request ended and what decided it.
 func (call *call) logEnd(refusal *refuse.Refusal) {
 	now := clock.Now()
+	operatorsAge, serversAge := call.service.coordinator.Ages(now)
 	fields := []any{
 		"request", call.ask.ID, "outcome", call.outcome, "status", call.status, "ms", now.Sub(call.arrived).Milliseconds(),
-		"config", call.view.Config.Version(), "servers", call.servers, "load_ms", call.loadTime.Milliseconds(),
+		"config", call.view.Config.Version(), "config_age_ms", operatorsAge.Milliseconds(), "servers_age_ms", serversAge.Milliseconds(),
+		"servers", call.servers, "load_ms", call.loadTime.Milliseconds(),
 	}
 	if call.route != nil {
 		fields = append(fields, "route", call.route.Name, "workspace", call.workspace.Name, "left_ms", call.deadline.Sub(now).Milliseconds())
