--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -15,11 +15,12 @@
 	// MaxInTransit is the number of adapters that may be on their way to one server at a time.
 	MaxInTransit = 4
 	// pollFast and pollSlow are the times between two questions whether an adapter has arrived: one that the server held
-	// lately takes some 25 ms, another one some 250 ms.
+	// lately takes some 25 ms, another one 250 ms and more.
 	pollFast = 25 * time.Millisecond
-	pollSlow = 50 * time.Millisecond
-	// pollFastFor is how long a load may still be one of the fast kind.
-	pollFastFor = 100 * time.Millisecond
+	pollSlow = 40 * time.Millisecond
+	// storeTime is the least time that an adapter needs from the weight store. Each question takes a turn of the server's
+	// orders, so none is asked before.
+	storeTime = 240 * time.Millisecond
 	// demandHorizon is the time over which the demand for an adapter is averaged.
 	demandHorizon = 12 * time.Second
 	// quietBefore is how long an adapter must not have been asked for before it makes room: hosts tell each other of
@@ -464,7 +465,7 @@
 		return keeper.nextModel(now, mayLoadModel)
 	}
 	for _, choose := range []func(time.Time) (lentilproxy.Order, bool){
-		keeper.nextPoll, keeper.nextReplacement, keeper.nextLoad, keeper.nextUnload,
+		keeper.nextReplacement, keeper.nextLoad, keeper.nextPoll, keeper.nextUnload,
 	} {
 		if order, found := choose(now); found {
 			return order, true
@@ -492,11 +493,7 @@
 func (keeper *Keeper) nextPoll(now time.Time) (lentilproxy.Order, bool) {
 	for _, name := range keeper.names() {
 		known := keeper.entries[name]
-		interval := pollSlow
-		if now.Sub(known.orderAt) < pollFastFor {
-			interval = pollFast
-		}
-		if now.Sub(known.polledAt) < interval {
+		if now.Sub(known.polledAt) < keeper.pollInterval(now, name) {
 			continue
 		}
 		switch {
@@ -509,6 +506,15 @@
 	return lentilproxy.Order{}, false
 }
 
+// pollInterval returns the time between two questions about an adapter.
+func (keeper *Keeper) pollInterval(now time.Time, adapter string) time.Duration {
+	known := keeper.entries[adapter]
+	if _, kept := keeper.recent[adapter]; kept || known.phase == leaving {
+		return pollFast
+	}
+	return max(pollSlow, storeTime-now.Sub(known.orderAt))
+}
+
 // nextReplacement loads the newest version in place of an older one.
 func (keeper *Keeper) nextReplacement(now time.Time) (lentilproxy.Order, bool) {
 	if keeper.inTransit() >= MaxInTransit {
