--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -237,7 +238,7 @@
 		_, _ = hash.WriteString(part + "\x00")
 	}
 	_, _ = hash.Write(call.exchange.Body())
-	return string(hash.Sum(nil))
+	return strconv.FormatUint(hash.Sum64(), 16)
 }
 
 // left returns the time until the deadline.
