--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -98,19 +98,19 @@
 	if table.provenAt.IsZero() {
 		return 0
 	}
-	threshold := table.readAge + min(control.rank(), maxRank)*rankAge
+	threshold := table.readAge + time.Duration(min(control.rank(), maxRank))*rankAge
 	return table.provenAt.Add(threshold).Sub(now)
 }
 
 // rank returns the number of hosts that come before this one in the order of names.
-func (control *control) rank() time.Duration {
+func (control *control) rank() int {
 	names := make([]string, 0, len(control.peers))
 	for name := range control.peers {
 		names = append(names, name)
 	}
 	slices.Sort(names)
 	index, _ := slices.BinarySearch(names, control.coordinator.settings.Host.Name)
-	return time.Duration(index)
+	return index
 }
 
 // unreadable notes that a table cannot be read.
