--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -27,6 +27,7 @@
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/io/clock"
+	"lentilproxy/io/loop"
 	"lentilproxy/io/peer"
 
 	"github.com/go-logr/logr"
@@ -56,7 +57,7 @@
 	// operatorsProven and serversProven are the instants as of which the tables are known, on the same clock.
 	operatorsProven atomic.Int64
 	serversProven   atomic.Int64
-	tasks           chan func(now time.Time)
+	loop            *loop.Loop
 	ctx             context.Context
 	cancel          context.CancelFunc
 	parts           sync.WaitGroup
@@ -112,13 +113,14 @@
 func New(settings *setup.Settings, platform Platform, listener net.Listener, options ...Option) *Coordinator {
 	coordinator := &Coordinator{
 		settings: settings, rows: platform.Rows, source: platform.Source, orders: platform.Orders, log: logr.Discard(),
-		metrics: tally.NoopScope, run: uuid.NewString(), meter: peer.NewMeter(), tasks: make(chan func(time.Time), taskQueue),
+		metrics: tally.NoopScope, run: uuid.NewString(), meter: peer.NewMeter(),
 		done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(coordinator)
 	}
 	coordinator.ctx, coordinator.cancel = context.WithCancel(context.Background())
+	coordinator.loop = loop.New(coordinator.ctx, taskQueue)
 	coordinator.view.Store(spec.EmptyView())
 	var poolOptions []peer.PoolOption
 	if address, isTCP := listener.Addr().(*net.TCPAddr); isTCP && !address.IP.IsUnspecified() {
@@ -164,7 +166,7 @@
 func (control *control) runTasks() {
 	for {
 		select {
-		case task := <-control.coordinator.tasks:
+		case task := <-control.coordinator.loop.Tasks():
 			task(clock.Now())
 		case <-control.coordinator.ctx.Done():
 			return
@@ -224,26 +226,11 @@
 }
 
 // post runs a function in the control goroutine, unless the coordinator has ended.
-func (coordinator *Coordinator) post(task func(now time.Time)) {
-	select {
-	case coordinator.tasks <- task:
-	case <-coordinator.ctx.Done():
-	}
-}
+func (coordinator *Coordinator) post(task func(now time.Time)) { coordinator.loop.Post(task) }
 
 // do runs a function in the control goroutine and waits for it. It says no if the coordinator has ended.
 func (coordinator *Coordinator) do(task func(now time.Time)) bool {
-	finished := make(chan struct{})
-	coordinator.post(func(now time.Time) {
-		defer close(finished)
-		task(now)
-	})
-	select {
-	case <-finished:
-		return true
-	case <-coordinator.ctx.Done():
-		return false
-	}
+	return coordinator.loop.Do(coordinator.ctx, task)
 }
 
 // pause waits, and says no if the coordinator has ended.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -18,10 +18,7 @@
 	"lentilproxy/io/table"
 
 	"github.com/go-logr/logr"
-	registry "github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/oops"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
 const (
@@ -61,19 +58,14 @@
 	if err := daemon.listen(); err != nil {
 		return nil, err
 	}
-	metricsRegistry := registry.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: metricsRegistry, Gatherer: metricsRegistry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "lentil", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	daemon.metrics = closer.Close
+	scope, metrics, end := newMetrics()
+	daemon.metrics = end
 	platform := table.New(settings.Platform.Table)
 	daemon.node = node.New(settings, platform, platform, daemon.listeners[2], node.WithLog(daemon.log), node.WithMetrics(scope))
 	daemon.ledger = ledger.New(platform, settings.Host.Name)
 	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives)
 	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
-	operators, err := admin.New(daemon.node, admin.WithMetrics(reporter.HTTPHandler()), admin.WithReports(daemon.reports))
+	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports))
 	if err != nil {
 		return nil, oops.Code("internal").Wrap(err)
 	}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -17,10 +17,7 @@
 	"lentilproxy/platform"
 
 	"github.com/go-logr/logr"
-	registry "github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/oops"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
 const (
@@ -61,13 +58,8 @@
 		// Port 0 lets the system choose.
 		settings.Listen.AdvertisePeers = listeners[2].Addr().String()
 	}
-	metricsRegistry := registry.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: metricsRegistry, Gatherer: metricsRegistry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "lentil", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	hosted.metrics = closer.Close
+	scope, metrics, end := newMetrics()
+	hosted.metrics = end
 	dialer := link.Dialer()
 	hosted.coordinator = coord.New(settings, coord.Platform{
 		Rows:   platform.NewStore(settings.Platform.Store, coord.Client(dialer, storeConnections), scope),
@@ -83,7 +75,7 @@
 	ready.HandleFunc(dialect.ReadyPath(), hosted.answerReady)
 	hosted.serve(ready, listeners[1])
 	scrape := http.NewServeMux()
-	scrape.Handle("/metrics", reporter.HTTPHandler())
+	scrape.Handle("/metrics", metrics)
 	hosted.serve(scrape, listeners[3])
 	log.Info("started", "host", settings.Host.Name, "data_centre", settings.Host.DataCentre, "callers", settings.Listen.Callers,
 		"peers", settings.Listen.Peers, "store", settings.Platform.Store)
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -147,7 +147,7 @@
 		return nil, oops.Code("bad_params").Wrap(err)
 	}
 	var result R
-	if !control.node.do(ctx, func(now time.Time) { result = call(now, decoded) }) {
+	if !control.node.loop.Do(ctx, func(now time.Time) { result = call(now, decoded) }) {
 		return nil, oops.Code("node_stopping").Errorf("the node is stopping")
 	}
 	return result, nil
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -185,7 +185,7 @@
 			return nil, err
 		}
 		control := node.traffic.control
-		if !node.do(ctx, func(now time.Time) {
+		if !node.loop.Do(ctx, func(now time.Time) {
 			if snapshot != nil {
 				control.replace(now, snapshot)
 			}
@@ -281,7 +281,7 @@
 	if !committed.Committed {
 		return outcome, true, false
 	}
-	node.do(ctx, func(now time.Time) {
+	node.loop.Do(ctx, func(now time.Time) {
 		control := node.traffic.control
 		control.adopt(now, []conf.Change{change})
 		control.startPush(now)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -120,7 +120,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case task := <-control.node.tasks:
+		case task := <-control.node.loop.Tasks():
 			task(time.Now())
 		case now := <-ticker.C:
 			control.tick(now)
@@ -147,7 +147,7 @@
 func (control *control) background(done func(), work func(ctx context.Context) func(now time.Time)) {
 	go func() {
 		finish := work(control.node.background)
-		control.node.post(func(now time.Time) {
+		control.node.loop.Post(func(now time.Time) {
 			done()
 			if finish != nil {
 				finish(now)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"lentilproxy/core/conf"
 	"lentilproxy/core/fresh"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/loop"
 	"lentilproxy/io/peer"
 
 	"github.com/go-logr/logr"
@@ -55,7 +56,7 @@
 	server     *peer.Server
 	traffic    *traffic
 	view       atomic.Pointer[View]
-	tasks      chan func(now time.Time)
+	loop       *loop.Loop
 	stopping   chan struct{}
 	stopOnce   sync.Once
 	done       chan struct{}
@@ -64,6 +65,9 @@
 	cancel     context.CancelFunc
 }
 
+// taskQueue is the number of functions that may wait for the control goroutine.
+const taskQueue = 256
+
 // Option configures a node.
 type Option func(*Node)
 
@@ -81,12 +85,13 @@
 	node := &Node{
 		settings: settings, table: table, hostList: hostList, listener: listener,
 		log: logr.Discard(), metrics: tally.NoopScope, backends: &http.Client{}, meter: peer.NewMeter(),
-		tasks: make(chan func(time.Time), 256), stopping: make(chan struct{}), done: make(chan struct{}),
+		stopping: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(node)
 	}
 	node.background, node.cancel = context.WithCancel(context.Background())
+	node.loop = loop.New(node.background, taskQueue)
 	node.view.Store(&View{state: conf.NewState(), changed: make(chan struct{})})
 	var poolOptions []peer.PoolOption
 	if address, isTCP := listener.Addr().(*net.TCPAddr); isTCP && !address.IP.IsUnspecified() {
@@ -157,28 +162,3 @@
 	node.failure.CompareAndSwap(nil, &wrapped)
 	node.cancel()
 }
-
-// post runs a function in the control goroutine, unless the node has ended.
-func (node *Node) post(task func(now time.Time)) {
-	select {
-	case node.tasks <- task:
-	case <-node.background.Done():
-	}
-}
-
-// do runs a function in the control goroutine and waits for it. It says no if the node has ended.
-func (node *Node) do(ctx context.Context, task func(now time.Time)) bool {
-	finished := make(chan struct{})
-	node.post(func(now time.Time) {
-		defer close(finished)
-		task(now)
-	})
-	select {
-	case <-finished:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-node.background.Done():
-		return false
-	}
-}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -192,7 +192,7 @@
 	ctx := context.Background()
 	control := node.traffic.control
 	var owned *ownedPool
-	is.True(node.do(ctx, func(time.Time) {
+	is.True(node.loop.Do(ctx, func(time.Time) {
 		owned = control.newOwnedPool("main", conf.Owner{Host: "host-1", Incarnation: 1, Epoch: 1})
 		owned.active = true
 		control.owned["main"] = owned
@@ -200,7 +200,7 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		for number := range 3000 {
-			node.do(ctx, func(time.Time) { owned.running[string(rune('a'+number%26))]++ })
+			node.loop.Do(ctx, func(time.Time) { owned.running[string(rune('a'+number%26))]++ })
 		}
 	})
 	group.Go(func() {
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -369,7 +369,7 @@
 		return nil, oops.Code("bad_params").Wrap(err)
 	}
 	reply := make(chan acquireResult, 1)
-	control.node.post(func(now time.Time) {
+	control.node.loop.Post(func(now time.Time) {
 		owned := control.owned[params.Pool]
 		if owned == nil || !owned.active || owned.resigning || !control.tracker.Fresh(now) || owned.manager.Waiting() >= maxWaiting {
 			reply <- acquireResult{Refusal: place.RefuseNotOwner}
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -167,7 +167,7 @@
 func (node *Node) Acceptance(ctx context.Context, revision int64) (Acceptance, error) {
 	var acceptance Acceptance
 	control := node.traffic.control
-	if !node.do(ctx, func(now time.Time) { acceptance = control.acceptance(now, revision) }) {
+	if !node.loop.Do(ctx, func(now time.Time) { acceptance = control.acceptance(now, revision) }) {
 		return acceptance, oops.Code("node_stopping").Errorf("the node is not running")
 	}
 	return acceptance, nil
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -54,7 +54,7 @@
 		traffic.dispatch(time.Now())
 		traffic.mutex.Unlock()
 		if returned {
-			slot.node.post(func(now time.Time) { traffic.control.reportPermits(now, func() {}) })
+			slot.node.loop.Post(func(now time.Time) { traffic.control.reportPermits(now, func() {}) })
 		}
 	})
 }
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -61,7 +61,7 @@
 func (node *Node) Status(ctx context.Context) (Status, error) {
 	var status Status
 	control := node.traffic.control
-	if !node.do(ctx, func(now time.Time) { status = control.describe(now) }) {
+	if !node.loop.Do(ctx, func(now time.Time) { status = control.describe(now) }) {
 		return status, oops.Code("node_stopping").Errorf("the node is not running")
 	}
 	node.traffic.describe(time.Now(), &status)
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -128,7 +128,7 @@
 
 // onDeath takes the news of a death. An owner does not give permits for the instance any more.
 func (traffic *traffic) onDeath(now time.Time, death deathParams) bool {
-	traffic.node.post(func(now time.Time) {
+	traffic.node.loop.Post(func(now time.Time) {
 		for _, owned := range traffic.control.owned {
 			owned.manager.Missing(now, death.Instance)
 		}
--- a/io/node/takeover.go
+++ b/io/node/takeover.go
@@ -138,7 +138,7 @@
 func (node *Node) handOver(ctx context.Context) {
 	control := node.traffic.control
 	var resigned []*ownedPool
-	node.do(ctx, func(time.Time) {
+	node.loop.Do(ctx, func(time.Time) {
 		for _, owned := range control.owned {
 			owned.resigning = true
 			resigned = append(resigned, owned)
@@ -147,7 +147,7 @@
 	for _, owned := range resigned {
 		node.awaitOrders(ctx, owned)
 		next := conf.Owner{Epoch: owned.owner.Epoch}
-		node.do(ctx, func(now time.Time) {
+		node.loop.Do(ctx, func(now time.Time) {
 			if !control.clean(now, owned.name) {
 				next.Previous = node.Name()
 			}
@@ -163,7 +163,7 @@
 func (node *Node) awaitOrders(ctx context.Context, owned *ownedPool) {
 	for {
 		idle := false
-		if !node.do(ctx, func(time.Time) { idle = owned.orders == 0 }) || idle {
+		if !node.loop.Do(ctx, func(time.Time) { idle = owned.orders == 0 }) || idle {
 			return
 		}
 		select {
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -116,7 +116,7 @@
 			return receipt, outcome
 		}
 		first = false
-		node.post(func(now time.Time) { traffic.control.exchangeSoon(now) })
+		node.loop.Post(func(now time.Time) { traffic.control.exchangeSoon(now) })
 		select {
 		case <-credited:
 		case <-time.After(accrueWait):
@@ -154,7 +154,7 @@
 	}
 	control.exchangeDue = true
 	time.AfterFunc(minExchangeInterval, func() {
-		control.node.post(func(now time.Time) { control.exchangeLoans(now, func() {}) })
+		control.node.loop.Post(func(now time.Time) { control.exchangeLoans(now, func() {}) })
 	})
 }
 
@@ -258,7 +258,7 @@
 	if !traffic.node.Fresh(now) {
 		return borrowResult{}
 	}
-	defer traffic.node.post(func(now time.Time) { traffic.control.giveBackLoans(now) })
+	defer traffic.node.loop.Post(func(now time.Time) { traffic.control.giveBackLoans(now) })
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	var result borrowResult
