--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -58,6 +58,46 @@
 	}
 }
 
+const hosted = `
+[host]
+name = host-1
+data_centre = dc-1
+[listen]
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+peers = 127.0.0.1:8082
+metrics = 127.0.0.1:8083
+[platform]
+store = 127.0.0.1:7000
+[bounds]
+retry_ratio = 0.2
+retry_window = 10s
+lease_gap = 3000ms
+quota_allowance = 110000
+`
+
+func TestParseHosted(t *testing.T) {
+	is := is.New(t)
+	settings, faults := parse(hosted)
+	is.Equal(faults, "[]")
+	is.Equal(settings.Bounds.LeaseGap, 3*time.Second)
+	is.Equal(settings.Bounds.RetryAllowance, DefaultRetryAllowance)
+	is.Equal(settings.Bounds.StopGrace, DefaultStopGrace)
+	for _, test := range []struct{ change, with, fault string }{
+		{"store = ", "table = 127.0.0.1:7001\nstore = ", "store and table exclude each other"},
+		{"store = 127.0.0.1:7000", "store = somewhere", `store: "somewhere" is not IP:port`},
+		{"metrics = 127.0.0.1:8083", "", `metrics: "" is not IP:port`},
+		{"127.0.0.1:8083", "127.0.0.1:8081", "metrics is the same address as ready"},
+		{"retry_ratio = 0.2", "retry_ratio = 2", "retry_ratio must lie between 0 and 1"},
+		{"quota_allowance = 110000", "quota_allowance = -1", "quota_allowance must not be negative"},
+		{"lease_gap = 3000ms", "lease_gap = 0s", "lease_gap must be positive"},
+		{"retry_window = 10s", "retry_window = long", `retry_window: "long" is not a duration`},
+	} {
+		_, faults = parse(strings.Replace(hosted, test.change, test.with, 1))
+		is.True(strings.Contains(faults, test.fault))
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("[host\nname\n=x\n[objective \"a]\ntarget=NaN\n"))
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/spec"
@@ -31,7 +32,7 @@
 	if !call.sentAt.IsZero() {
 		service.firstByte.RecordDuration(call.sentAt.Sub(call.arrived))
 	}
-	service.metrics.Tagged(map[string]string{"outcome": call.outcome, "status": http.StatusText(call.status)}).Counter("requests").Inc(1)
+	service.metrics.Tagged(map[string]string{"outcome": call.outcome, "status": strconv.Itoa(call.status)}).Counter("requests").Inc(1)
 	if refusal == nil && call.plain() && service.answered.Add(1)%logEvery != 0 {
 		return
 	}
