--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// usageLifetime is how long a peer's message about its running requests counts.
-	usageLifetime = 1500 * time.Millisecond
+	// usageLifetime is how long a peer's message about its running requests counts. Many hosts tell each other every 2 s.
+	usageLifetime = 2500 * time.Millisecond
 	// initialPace is the assumed time of an engine for one prompt token until answers have been seen.
 	initialPace = 35 * time.Microsecond
 	// minPace and maxPace bound what is learnt from single answers.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -23,7 +23,7 @@
 	// their requests with a delay, and while an unload waits for its runs, the server takes no other order.
 	quietBefore = 450 * time.Millisecond
 	// runningLifetime is how long a host's count of its running requests counts.
-	runningLifetime = 1500 * time.Millisecond
+	runningLifetime = 2500 * time.Millisecond
 	// noticeTime is the time between the announcement that an adapter makes room and its unload, in which the other
 	// hosts learn of it.
 	noticeTime = 350 * time.Millisecond
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -94,6 +94,10 @@
 	book          *lease.Book
 	keepers       map[string]*keeper
 	peers         map[string]*peerState
+	// untold counts requests for adapters by server, until the server's holder is told.
+	untold map[string]map[string]float64
+	// nextTold is the number of the peer that is told next.
+	nextTold int
 	// renewalLost is since when the lease could not be renewed.
 	renewalLost time.Time
 	// decoded are the servers of the mirror by their keys.
@@ -130,12 +134,12 @@
 	coordinator.traffic = newTraffic(coordinator)
 	operators, servers := platform.Source.Tables()
 	control := &control{
-		coordinator: coordinator, operators: newCopied(operators, operatorsAge), servers: newCopied(servers, serversAge),
-		fleet: newCopied(lease.Table, fleetAge),
+		coordinator: coordinator, operators: newCopied(operators, operatorsAge, rowsInterval), servers: newCopied(servers, serversAge, rowsInterval),
+		fleet: newCopied(lease.Table, fleetAge, fleetInterval),
 		book: lease.New(lease.Host{
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, Run: coordinator.run,
 		}, settings.Bounds.LeaseGap),
-		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, decoded: map[string]decodedServer{},
+		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, untold: map[string]map[string]float64{}, decoded: map[string]decodedServer{},
 		lapsed: map[string]time.Time{}, faults: map[string]int64{}, crowd: limit.NewCrowd(settings.Host.Name),
 	}
 	coordinator.traffic.control = control
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -9,6 +9,7 @@
 	"lentilproxy/core/guard"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/sched"
+	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 
 	"github.com/samber/oops"
@@ -27,6 +28,12 @@
 const (
 	// digestInterval is the time between two digests to each peer: it decides how old the load is that a host sees.
 	digestInterval = 200 * time.Millisecond
+	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often.
+	maxDigests = 30
+	// rowsInterval and fleetInterval are the least times between two questions for rows of a table: the rows of hosts
+	// change with every renewal.
+	rowsInterval  = 100 * time.Millisecond
+	fleetInterval = 600 * time.Millisecond
 	// peerTimeout bounds a call between hosts.
 	peerTimeout = 400 * time.Millisecond
 	// fullEvery is the number of digests after which one tells everything again.
@@ -101,8 +108,6 @@
 	told  map[string]int64
 	count int
 	lost  bool
-	// pulling says that rows are being asked for.
-	pulling bool
 }
 
 // updatePeers takes in the hosts of the last scan.
@@ -138,8 +143,15 @@
 			used, running := coordinator.traffic.takeUsed(), coordinator.traffic.runningOn()
 			control.countUsed(now, used)
 			control.countRunning(now, coordinator.settings.Host.Name, running)
-			for _, peer := range control.peers {
-				control.tell(peer, used, running)
+			for server, adapters := range used {
+				if control.keepers[server] == nil {
+					for adapter, number := range adapters {
+						count(control.untold, server, adapter, number)
+					}
+				}
+			}
+			for _, peer := range control.turn() {
+				control.tell(peer, running)
 			}
 			control.shareLimits(now)
 			coordinator.traffic.exchange(now)
@@ -147,6 +159,18 @@
 	}
 }
 
+// turn returns the peers to tell now, all of them unless there are many.
+func (control *control) turn() []*peerState {
+	names := value.Sorted(control.peers)
+	peers := make([]*peerState, 0, min(len(names), maxDigests))
+	for range min(len(names), maxDigests) {
+		control.nextTold %= len(names)
+		peers = append(peers, control.peers[names[control.nextTold]])
+		control.nextTold++
+	}
+	return peers
+}
+
 // countUsed counts requests on servers that this host holds.
 func (control *control) countUsed(now time.Time, used map[string]map[string]float64) {
 	for server, adapters := range used {
@@ -165,7 +189,7 @@
 	}
 }
 
-func (control *control) tell(peer *peerState, used map[string]map[string]float64, running map[string]map[string]int) {
+func (control *control) tell(peer *peerState, running map[string]map[string]int) {
 	if peer.busy {
 		return
 	}
@@ -185,8 +209,9 @@
 		if holder, found := control.book.Holder(server); !found || holder.Name != peer.name {
 			continue
 		}
-		if len(used[server]) > 0 {
-			message.Used[server] = used[server]
+		if len(control.untold[server]) > 0 {
+			message.Used[server] = control.untold[server]
+			delete(control.untold, server)
 		}
 		if len(running[server]) > 0 {
 			message.Running[server] = running[server]
@@ -244,13 +269,15 @@
 		switch {
 		case !found:
 		case known.Newest > table.Newest():
-			params.After[table.table] = table.Newest()
+			if now.Sub(table.pulledAt) >= table.pullInterval {
+				table.pulledAt = now
+				params.After[table.table] = table.Newest()
+			}
 		case known.AgeMS >= 0:
 			control.took(now, askedAt.Add(-time.Duration(known.AgeMS)*time.Millisecond), table, false)
 		}
 	}
-	if !peer.pulling && len(params.After) > 0 {
-		peer.pulling = true
+	if len(params.After) > 0 {
 		go control.pull(peer, params)
 	}
 }
@@ -274,7 +301,6 @@
 	var result rowsResult
 	err := coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
 	coordinator.post(func(now time.Time) {
-		peer.pulling = false
 		if err != nil {
 			return
 		}
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -40,12 +40,15 @@
 	provenAt time.Time
 	// lostSince is when the first of the failed reads since the last good one was sent.
 	lostSince time.Time
+	// pulledAt is when a peer was asked for rows last, at intervals of at least pullInterval.
+	pulledAt     time.Time
+	pullInterval time.Duration
 	// filter drops rows whose change does not matter.
 	filter func(row lentilproxy.Row) bool
 }
 
-func newCopied(table string, readAge time.Duration) *copied {
-	return &copied{Mirror: mirror.New(), table: table, readAge: readAge}
+func newCopied(table string, readAge, pullInterval time.Duration) *copied {
+	return &copied{Mirror: mirror.New(), table: table, readAge: readAge, pullInterval: pullInterval}
 }
 
 // follow keeps a mirror of one table, by reading it whenever no proof of another host is young enough: a scan first,
