--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -74,8 +74,8 @@
 	since   time.Time
 }
 
-// Book is one host's knowledge of leases. It is not safe for concurrent use.
-type Book struct {
+// Registry is one host's knowledge of leases. It is not safe for concurrent use.
+type Registry struct {
 	self    Host
 	gap     time.Duration
 	version int64
@@ -94,18 +94,18 @@
 	leaving   bool
 }
 
-// New returns the book of a host that has not joined yet.
-func New(self Host, gap time.Duration) *Book {
-	return &Book{
+// New returns the registry of a host that has not joined yet.
+func New(self Host, gap time.Duration) *Registry {
+	return &Registry{
 		self: self, gap: max(gap, Gap), hosts: map[string]seenHost{}, holders: map[string]seenHolder{}, claims: map[string]int64{},
 	}
 }
 
 // ExpelAfter is how long a row has to stay unchanged before its host is expelled.
-func (book *Book) ExpelAfter() time.Duration { return Term + book.gap + margin }
+func (registry *Registry) ExpelAfter() time.Duration { return Term + registry.gap + margin }
 
 // Observe takes in a scan of the table that was asked for at an instant.
-func (book *Book) Observe(sentAt, now time.Time, rows []lentilproxy.Row) {
+func (registry *Registry) Observe(sentAt, now time.Time, rows []lentilproxy.Row) {
 	hosts, holders := map[string]seenHost{}, map[string]seenHolder{}
 	for _, row := range rows {
 		if name, found := strings.CutPrefix(row.Key, prefixHost); found {
@@ -113,7 +113,7 @@
 			if json.Unmarshal(row.Value, &seen.host) != nil || seen.host.Name != name {
 				continue
 			}
-			if known, again := book.hosts[name]; again && known.version == row.Version {
+			if known, again := registry.hosts[name]; again && known.version == row.Version {
 				seen.since = known.since
 			}
 			hosts[name] = seen
@@ -123,136 +123,138 @@
 			if json.Unmarshal(row.Value, &seen.row) != nil {
 				continue
 			}
-			if known, again := book.holders[server]; again && known.version == row.Version {
+			if known, again := registry.holders[server]; again && known.version == row.Version {
 				seen.since = known.since
 			}
 			holders[server] = seen
 		}
 	}
-	book.hosts, book.holders, book.scannedAt = hosts, holders, sentAt
-	book.reconcile()
+	registry.hosts, registry.holders, registry.scannedAt = hosts, holders, sentAt
+	registry.reconcile()
 }
 
 // reconcile drops what the rows no longer grant.
-func (book *Book) reconcile() {
-	own, found := book.hosts[book.self.Name]
-	if !found || own.host.Run != book.self.Run {
+func (registry *Registry) reconcile() {
+	own, found := registry.hosts[registry.self.Name]
+	if !found || own.host.Run != registry.self.Run {
 		// Rows from before the last renewal do not count against it.
-		if book.joined && book.scannedAt.After(book.renewedAt) {
-			book.lose()
+		if registry.joined && registry.scannedAt.After(registry.renewedAt) {
+			registry.lose()
 		}
-	} else if own.version > book.version {
+	} else if own.version > registry.version {
 		// A renewal whose answer was lost has taken effect.
-		book.version, book.joined = own.version, true
+		registry.version, registry.joined = own.version, true
 	}
-	for server, token := range book.claims {
-		if seen, found := book.holders[server]; found && seen.version > token {
-			delete(book.claims, server)
+	for server, token := range registry.claims {
+		if seen, found := registry.holders[server]; found && seen.version > token {
+			delete(registry.claims, server)
 		}
 	}
 }
 
 // lose ends everything that the host holds.
-func (book *Book) lose() {
-	book.joined, book.version, book.until = false, 0, time.Time{}
-	clear(book.claims)
+func (registry *Registry) lose() {
+	registry.joined, registry.version, registry.until = false, 0, time.Time{}
+	clear(registry.claims)
 }
 
 // Renewal returns the transaction that joins or renews.
-func (book *Book) Renewal() lentilproxy.Transaction {
-	book.self.Beat++
-	version := book.version
-	if !book.joined {
-		version = book.hosts[book.self.Name].version
+func (registry *Registry) Renewal() lentilproxy.Transaction {
+	registry.self.Beat++
+	version := registry.version
+	if !registry.joined {
+		version = registry.hosts[registry.self.Name].version
 	}
-	key := Table + "/" + prefixHost + book.self.Name
+	key := Table + "/" + prefixHost + registry.self.Name
 	return lentilproxy.Transaction{
 		Conditions: []lentilproxy.Condition{{Key: key, Version: version}},
-		Writes:     []lentilproxy.Write{{Key: key, Value: encode(book.self)}},
+		Writes:     []lentilproxy.Write{{Key: key, Value: encode(registry.self)}},
 	}
 }
 
 // Renewed takes in that the renewal sent at an instant has taken effect by now.
-func (book *Book) Renewed(sentAt, now time.Time, version int64) {
-	if version < book.version {
+func (registry *Registry) Renewed(sentAt, now time.Time, version int64) {
+	if version < registry.version {
 		return
 	}
-	book.renewedAt = now
-	if !book.joined {
-		book.joinedAt = sentAt
+	registry.renewedAt = now
+	if !registry.joined {
+		registry.joinedAt = sentAt
 	}
-	book.joined, book.version = true, version
-	if until := sentAt.Add(Term); until.After(book.until) {
-		book.until = until
+	registry.joined, registry.version = true, version
+	if until := sentAt.Add(Term); until.After(registry.until) {
+		registry.until = until
 	}
 }
 
 // RenewalRefused takes in the rows that stood against a renewal. It says whether the host has lost its place.
-func (book *Book) RenewalRefused(now time.Time, rows []lentilproxy.Row) bool {
+func (registry *Registry) RenewalRefused(now time.Time, rows []lentilproxy.Row) bool {
 	for _, row := range rows {
 		var host Host
-		if row.Version > 0 && json.Unmarshal(row.Value, &host) == nil && host.Run == book.self.Run {
+		if row.Version > 0 && json.Unmarshal(row.Value, &host) == nil && host.Run == registry.self.Run {
 			// An earlier renewal of this run, whose answer was lost.
-			book.version, book.joined = max(book.version, row.Version), true
+			registry.version, registry.joined = max(registry.version, row.Version), true
 			return false
 		}
 		if row.Version > 0 {
-			book.hosts[book.self.Name] = seenHost{host: host, version: row.Version, since: now}
+			registry.hosts[registry.self.Name] = seenHost{host: host, version: row.Version, since: now}
 		} else {
-			delete(book.hosts, book.self.Name)
+			delete(registry.hosts, registry.self.Name)
 		}
 	}
-	lost := book.joined
-	book.lose()
+	lost := registry.joined
+	registry.lose()
 	return lost
 }
 
 // Joined says whether the host's row is in the store, as far as the host knows.
-func (book *Book) Joined() bool { return book.joined }
+func (registry *Registry) Joined() bool { return registry.joined }
 
 // Leased says whether the host's own lease runs.
-func (book *Book) Leased(now time.Time) bool { return book.joined && now.Before(book.until) }
+func (registry *Registry) Leased(now time.Time) bool {
+	return registry.joined && now.Before(registry.until)
+}
 
 // ScannedAt returns when the last scan that was taken in was asked for.
-func (book *Book) ScannedAt() time.Time { return book.scannedAt }
+func (registry *Registry) ScannedAt() time.Time { return registry.scannedAt }
 
 // Holds returns the fencing number for orders to a server, if the host may give them at an instant.
-func (book *Book) Holds(now time.Time, server string) (int64, bool) {
-	token, found := book.claims[server]
-	return token, found && book.Leased(now)
+func (registry *Registry) Holds(now time.Time, server string) (int64, bool) {
+	token, found := registry.claims[server]
+	return token, found && registry.Leased(now)
 }
 
 // Holder returns the host that gives orders to a server, as far as it is known.
-func (book *Book) Holder(server string) (Host, bool) {
-	seen, found := book.holders[server]
-	if _, own := book.claims[server]; own {
-		return book.self, true
+func (registry *Registry) Holder(server string) (Host, bool) {
+	seen, found := registry.holders[server]
+	if _, own := registry.claims[server]; own {
+		return registry.self, true
 	}
 	if !found || seen.row.Released {
 		return Host{}, false
 	}
-	host, found := book.hosts[seen.row.Host]
+	host, found := registry.hosts[seen.row.Host]
 	return host.host, found
 }
 
 // Held returns the servers that the host holds, in order.
-func (book *Book) Held() []string { return value.Sorted(book.claims) }
+func (registry *Registry) Held() []string { return value.Sorted(registry.claims) }
 
 // Hosts returns all hosts that have a row, in order of their names.
-func (book *Book) Hosts() []Host {
-	hosts := make([]Host, 0, len(book.hosts))
-	for _, name := range value.Sorted(book.hosts) {
-		hosts = append(hosts, book.hosts[name].host)
+func (registry *Registry) Hosts() []Host {
+	hosts := make([]Host, 0, len(registry.hosts))
+	for _, name := range value.Sorted(registry.hosts) {
+		hosts = append(hosts, registry.hosts[name].host)
 	}
 	return hosts
 }
 
 // alive returns the hosts whose rows have changed lately, and this host. Only the time between answers of the store
 // counts: a host that cannot read it must not take itself for the only one.
-func (book *Book) alive() []string {
-	names := []string{book.self.Name}
-	for name, seen := range book.hosts {
-		if name != book.self.Name && book.scannedAt.Sub(seen.since) < aliveFor {
+func (registry *Registry) alive() []string {
+	names := []string{registry.self.Name}
+	for name, seen := range registry.hosts {
+		if name != registry.self.Name && registry.scannedAt.Sub(seen.since) < aliveFor {
 			names = append(names, name)
 		}
 	}
@@ -261,14 +263,14 @@
 }
 
 // Expulsion returns the transaction that removes a host whose lease has surely ended, if there is one.
-func (book *Book) Expulsion() (lentilproxy.Transaction, string, bool) {
-	if !book.joined || book.leaving {
+func (registry *Registry) Expulsion() (lentilproxy.Transaction, string, bool) {
+	if !registry.joined || registry.leaving {
 		return lentilproxy.Transaction{}, "", false
 	}
-	for _, name := range value.Sorted(book.hosts) {
-		seen := book.hosts[name]
+	for _, name := range value.Sorted(registry.hosts) {
+		seen := registry.hosts[name]
 		// Only the time between two answers of the store counts, so that an outage expels nobody.
-		if name == book.self.Name || book.scannedAt.Sub(seen.since) < book.ExpelAfter() {
+		if name == registry.self.Name || registry.scannedAt.Sub(seen.since) < registry.ExpelAfter() {
 			continue
 		}
 		key := Table + "/" + prefixHost + name
@@ -287,71 +289,71 @@
 }
 
 // Claims returns the servers that this host should claim now, out of those that need a holder.
-func (book *Book) Claims(now time.Time, servers []string) (Claims, bool) {
+func (registry *Registry) Claims(now time.Time, servers []string) (Claims, bool) {
 	claims := Claims{}
-	if !book.Leased(now) || book.leaving {
+	if !registry.Leased(now) || registry.leaving {
 		return claims, false
 	}
-	own := lentilproxy.Condition{Key: Table + "/" + prefixHost + book.self.Name, Version: book.version}
+	own := lentilproxy.Condition{Key: Table + "/" + prefixHost + registry.self.Name, Version: registry.version}
 	claims.Transaction.Conditions = []lentilproxy.Condition{own}
-	alive := book.alive()
+	alive := registry.alive()
 	for _, server := range servers {
 		if len(claims.Servers) >= maxClaims {
 			break
 		}
-		if _, held := book.claims[server]; held || !book.claimable(now, server, alive) {
+		if _, held := registry.claims[server]; held || !registry.claimable(now, server, alive) {
 			continue
 		}
 		key := Table + "/" + prefixHolder + server
 		claims.Transaction.Conditions = append(claims.Transaction.Conditions,
-			lentilproxy.Condition{Key: key, Version: book.holders[server].version})
+			lentilproxy.Condition{Key: key, Version: registry.holders[server].version})
 		claims.Transaction.Writes = append(claims.Transaction.Writes,
-			lentilproxy.Write{Key: key, Value: encode(holderRow{Host: book.self.Name})})
+			lentilproxy.Write{Key: key, Value: encode(holderRow{Host: registry.self.Name})})
 		claims.Servers = append(claims.Servers, server)
 	}
 	return claims, len(claims.Servers) > 0
 }
 
 // claimable says whether this host is the one to claim a server.
-func (book *Book) claimable(now time.Time, server string, alive []string) bool {
-	seen, found := book.holders[server]
-	if found && seen.row.Host == book.self.Name {
+func (registry *Registry) claimable(now time.Time, server string, alive []string) bool {
+	seen, found := registry.holders[server]
+	if found && seen.row.Host == registry.self.Name {
 		// Held by an earlier run of this host, or by this run before it was expelled.
 		return true
 	}
-	if now.Sub(book.joinedAt) < settleTime {
+	if now.Sub(registry.joinedAt) < settleTime {
 		return false
 	}
-	if found && seen.row.Released && now.Sub(seen.since) < book.gap+margin {
+	if found && seen.row.Released && now.Sub(seen.since) < registry.gap+margin {
 		// Its claim has to allow orders at once, also to a host that starts again right after it.
 		return false
 	}
 	if found && !seen.row.Released {
-		if _, present := book.hosts[seen.row.Host]; present {
+		if _, present := registry.hosts[seen.row.Host]; present {
 			return false
 		}
 	}
-	return Preferred(server, alive) == book.self.Name
+	return Preferred(server, alive) == registry.self.Name
 }
 
 // Claimed takes in that claims have taken effect with a version.
-func (book *Book) Claimed(now time.Time, claims Claims, version int64) {
+func (registry *Registry) Claimed(now time.Time, claims Claims, version int64) {
 	for _, server := range claims.Servers {
-		book.claims[server] = version
-		book.holders[server] = seenHolder{row: holderRow{Host: book.self.Name}, version: version, since: now}
+		registry.claims[server] = version
+		registry.holders[server] = seenHolder{row: holderRow{Host: registry.self.Name}, version: version, since: now}
 	}
 }
 
 // Release ends all orders of this host and returns the transaction that hands its servers over. The host takes no
 // more of them.
-func (book *Book) Release() (lentilproxy.Transaction, bool) {
-	book.leaving = true
-	if !book.joined {
+func (registry *Registry) Release() (lentilproxy.Transaction, bool) {
+	registry.leaving = true
+	if !registry.joined {
 		return lentilproxy.Transaction{}, false
 	}
-	ownKey := Table + "/" + prefixHost + book.self.Name
-	transaction := lentilproxy.Transaction{Conditions: []lentilproxy.Condition{{Key: ownKey, Version: book.version}}}
-	held := book.Held()
+	ownKey := Table + "/" + prefixHost + registry.self.Name
+	transaction := lentilproxy.Transaction{Conditions: []lentilproxy.Condition{{Key: ownKey, Version: registry.version}}}
+	held := registry.Held()
 	if released := maxEntries - 2; len(held) <= released {
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{Key: ownKey, Delete: true})
 	} else {
@@ -360,24 +362,24 @@
 	}
 	for _, server := range held {
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{
-			Key: Table + "/" + prefixHolder + server, Value: encode(holderRow{Host: book.self.Name, Released: true}),
+			Key: Table + "/" + prefixHolder + server, Value: encode(holderRow{Host: registry.self.Name, Released: true}),
 		})
 	}
-	clear(book.claims)
+	clear(registry.claims)
 	return transaction, true
 }
 
 // Cleanup returns the transaction that removes rows of servers that are gone, out of those held by this host.
-func (book *Book) Cleanup(present func(server string) bool) (lentilproxy.Transaction, bool) {
+func (registry *Registry) Cleanup(present func(server string) bool) (lentilproxy.Transaction, bool) {
 	transaction := lentilproxy.Transaction{}
-	for _, server := range book.Held() {
+	for _, server := range registry.Held() {
 		if present(server) || len(transaction.Writes) >= maxClaims {
 			continue
 		}
 		key := Table + "/" + prefixHolder + server
-		transaction.Conditions = append(transaction.Conditions, lentilproxy.Condition{Key: key, Version: book.claims[server]})
+		transaction.Conditions = append(transaction.Conditions, lentilproxy.Condition{Key: key, Version: registry.claims[server]})
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{Key: key, Delete: true})
-		delete(book.claims, server)
+		delete(registry.claims, server)
 	}
 	return transaction, len(transaction.Writes) > 0
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -51,11 +51,11 @@
 
 var start = time.Unix(1000, 0)
 
-// host is a book whose store may be away and which may be paused.
+// host is a registry whose store may be away and which may be paused.
 type host struct {
 	name     string
 	runs     int
-	book     *Book
+	registry *Registry
 	pausedTo time.Time
 	cutTo    time.Time
 }
@@ -68,31 +68,31 @@
 
 func (host *host) restart() {
 	host.runs++
-	host.book = New(Host{Name: host.name, Run: fmt.Sprintf("%s-%d", host.name, host.runs)}, Gap)
+	host.registry = New(Host{Name: host.name, Run: fmt.Sprintf("%s-%d", host.name, host.runs)}, Gap)
 }
 
 // cycle does what a host does once in a renewal interval. Lost answers take effect and are not told.
 func (host *host) cycle(now time.Time, store *memory, servers []string, lose bool) {
-	book := host.book
-	if !book.Joined() {
-		book.Observe(now, now, store.scan())
+	registry := host.registry
+	if !registry.Joined() {
+		registry.Observe(now, now, store.scan())
 	}
-	result := store.commit(book.Renewal())
+	result := store.commit(registry.Renewal())
 	if lose {
 		return
 	}
 	if !result.Committed {
-		book.RenewalRefused(now, result.Conflicts)
+		registry.RenewalRefused(now, result.Conflicts)
 		return
 	}
-	book.Renewed(now, now, result.Version)
-	book.Observe(now, now, store.scan())
-	if expulsion, _, found := book.Expulsion(); found {
+	registry.Renewed(now, now, result.Version)
+	registry.Observe(now, now, store.scan())
+	if expulsion, _, found := registry.Expulsion(); found {
 		store.commit(expulsion)
 	}
-	if claims, found := book.Claims(now, servers); found {
+	if claims, found := registry.Claims(now, servers); found {
 		if result = store.commit(claims.Transaction); result.Committed {
-			book.Claimed(now, claims, result.Version)
+			registry.Claimed(now, claims, result.Version)
 		}
 	}
 }
@@ -124,7 +124,7 @@
 			case 2:
 				host.restart()
 			case 3:
-				if release, held := host.book.Release(); held {
+				if release, held := host.registry.Release(); held {
 					store.commit(release)
 				}
 				host.restart()
@@ -137,7 +137,7 @@
 					each.cycle(now, store, servers, rapid.IntRange(0, 9).Draw(t, "lose") == 0)
 				}
 				for _, server := range servers {
-					token, holds := each.book.Holds(now, server)
+					token, holds := each.registry.Holds(now, server)
 					if !holds {
 						continue
 					}
@@ -171,7 +171,7 @@
 	found := map[string]string{}
 	for _, server := range servers {
 		for _, host := range hosts {
-			if _, holds := host.book.Holds(now, server); holds {
+			if _, holds := host.registry.Holds(now, server); holds {
 				found[server] += host.name
 			}
 		}
@@ -186,19 +186,19 @@
 	first, second := newHost("a"), newHost("b")
 	now := run(start, 6*time.Second, store, servers, first, second)
 	is.Equal(len(holders(now, servers, first, second)), len(servers))
-	is.True(len(first.book.Held()) > 0)
-	is.True(len(second.book.Held()) > 0)
+	is.True(len(first.registry.Held()) > 0)
+	is.True(len(second.registry.Held()) > 0)
 
 	// The first one falls silent.
-	now = run(now, first.book.ExpelAfter()+4*RenewInterval, store, servers, second)
-	is.Equal(len(second.book.Held()), len(servers))
-	_, holds := first.book.Holds(now, servers[0])
+	now = run(now, first.registry.ExpelAfter()+4*RenewInterval, store, servers, second)
+	is.Equal(len(second.registry.Held()), len(servers))
+	_, holds := first.registry.Holds(now, servers[0])
 	is.True(!holds)
-	is.True(!first.book.Leased(now))
+	is.True(!first.registry.Leased(now))
 
 	// It comes back and learns that it holds nothing.
 	first.cycle(now, store, servers, false)
-	is.Equal(len(first.book.Held()), 0)
+	is.Equal(len(first.registry.Held()), 0)
 }
 
 func TestHostThatStartsAgainGoesOnAtOnce(t *testing.T) {
@@ -207,10 +207,10 @@
 	servers := []string{"s1", "s2"}
 	host := newHost("a")
 	now := run(start, 6*time.Second, store, servers, host)
-	before, _ := host.book.Holds(now, "s1")
+	before, _ := host.registry.Holds(now, "s1")
 	host.restart()
 	host.cycle(now, store, servers, false)
-	after, holds := host.book.Holds(now, "s1")
+	after, holds := host.registry.Holds(now, "s1")
 	is.True(holds)
 	is.True(after > before)
 }
@@ -221,18 +221,18 @@
 	servers := []string{"s1", "s2", "s3", "s4"}
 	first, second := newHost("a"), newHost("b")
 	now := run(start, 6*time.Second, store, servers, first, second)
-	given := first.book.Held()
+	given := first.registry.Held()
 	is.True(len(given) > 0)
-	release, held := first.book.Release()
+	release, held := first.registry.Release()
 	is.True(held)
 	is.True(store.commit(release).Committed)
 	second.cycle(now, store, servers, false)
 	run(now, Gap, store, servers, second)
-	_, holds := second.book.Holds(now.Add(Gap), given[0])
+	_, holds := second.registry.Holds(now.Add(Gap), given[0])
 	is.True(!holds)
 	now = run(now, 6*time.Second, store, servers, second)
-	is.Equal(len(second.book.Held()), len(servers))
-	_, holds = second.book.Holds(now, given[0])
+	is.Equal(len(second.registry.Held()), len(servers))
+	_, holds = second.registry.Holds(now, given[0])
 	is.True(holds)
 }
 
@@ -242,12 +242,12 @@
 	first, second := newHost("a"), newHost("b")
 	now := run(start, 6*time.Second, store, []string{"s1"}, first, second)
 	now = now.Add(time.Minute)
-	second.book.Observe(now, now, store.scan())
-	_, _, expel := second.book.Expulsion()
+	second.registry.Observe(now, now, store.scan())
+	_, _, expel := second.registry.Expulsion()
 	is.True(expel) // A scan after a minute sees the same row: the time lies between two answers.
 
 	third := newHost("c")
-	third.book.Observe(now, now, store.scan())
-	_, _, expel = third.book.Expulsion()
+	third.registry.Observe(now, now, store.scan())
+	_, _, expel = third.registry.Expulsion()
 	is.True(!expel) // It has seen the row just now.
 }
--- a/core/limit/crowd.go
+++ b/core/limit/membership.go
@@ -22,11 +22,11 @@
 	rememberFor = time.Minute
 )
 
-// Crowd decides which part of every limit a host holds, by the hosts that are known to take part.
+// Membership decides which part of every limit a host holds, by the hosts that are known to take part.
 //
 // A host counts while its row is in the store, which is until its lease has surely ended, or while it is heard. A host
 // that can neither read the store nor reach all the others may be counted by nobody and uses only a part of its share.
-type Crowd struct {
+type Membership struct {
 	self  string
 	rows  value.Set[string]
 	heard map[string]time.Time
@@ -38,80 +38,80 @@
 	freshSince time.Time
 }
 
-// NewCrowd returns the crowd of a host that knows nobody yet, not even itself.
-func NewCrowd(self string) *Crowd {
-	return &Crowd{self: self, rows: value.NewSet[string](), heard: map[string]time.Time{}, acked: map[string]time.Time{}, known: map[string]time.Time{}}
+// NewMembership returns the membership of a host that knows nobody yet, not even itself.
+func NewMembership(self string) *Membership {
+	return &Membership{self: self, rows: value.NewSet[string](), heard: map[string]time.Time{}, acked: map[string]time.Time{}, known: map[string]time.Time{}}
 }
 
 // Rows takes in the hosts that have a row in the store, as of a scan that was asked for at an instant.
-func (crowd *Crowd) Rows(scannedAt time.Time, hosts []string) {
-	before := crowd.rows.Has(crowd.self)
-	crowd.rows = value.NewSet(hosts...)
-	if !before || scannedAt.Sub(crowd.scannedAt) >= noticeTime {
-		crowd.freshSince = scannedAt
+func (membership *Membership) Rows(scannedAt time.Time, hosts []string) {
+	before := membership.rows.Has(membership.self)
+	membership.rows = value.NewSet(hosts...)
+	if !before || scannedAt.Sub(membership.scannedAt) >= noticeTime {
+		membership.freshSince = scannedAt
 	}
-	crowd.scannedAt = scannedAt
+	membership.scannedAt = scannedAt
 }
 
 // Heard takes in a message of another host.
-func (crowd *Crowd) Heard(now time.Time, host string) { crowd.heard[host] = now }
+func (membership *Membership) Heard(now time.Time, host string) { membership.heard[host] = now }
 
 // Acked takes in that another host has answered a message that was sent at an instant.
-func (crowd *Crowd) Acked(sentAt time.Time, host string) { crowd.acked[host] = sentAt }
+func (membership *Membership) Acked(sentAt time.Time, host string) { membership.acked[host] = sentAt }
 
 // Members returns the number of hosts that share limits; 0 before anything is known.
-func (crowd *Crowd) Members(now time.Time) int { return len(crowd.members(now)) }
+func (membership *Membership) Members(now time.Time) int { return len(membership.members(now)) }
 
-func (crowd *Crowd) members(now time.Time) value.Set[string] {
+func (membership *Membership) members(now time.Time) value.Set[string] {
 	members := value.NewSet[string]()
-	if len(crowd.rows) == 0 {
+	if len(membership.rows) == 0 {
 		return members
 	}
-	members.Add(crowd.self)
-	for host := range crowd.rows {
+	members.Add(membership.self)
+	for host := range membership.rows {
 		members.Add(host)
 	}
-	for host, at := range crowd.heard {
+	for host, at := range membership.heard {
 		if now.Sub(at) < heardFor {
 			members.Add(host)
 			continue
 		}
-		delete(crowd.heard, host)
+		delete(membership.heard, host)
 	}
 	for host := range members {
-		crowd.known[host] = now
+		membership.known[host] = now
 	}
-	if crowd.fresh(now) {
+	if membership.fresh(now) {
 		return members
 	}
 	// Hosts that left may have come back unseen.
-	for host, at := range crowd.known {
+	for host, at := range membership.known {
 		if now.Sub(at) < rememberFor {
 			members.Add(host)
 			continue
 		}
-		delete(crowd.known, host)
+		delete(membership.known, host)
 	}
 	return members
 }
 
 // fresh says whether the host knows from the store who takes part, and the others know of it.
-func (crowd *Crowd) fresh(now time.Time) bool {
-	return crowd.rows.Has(crowd.self) && now.Sub(crowd.scannedAt) < noticeTime && now.Sub(crowd.freshSince) >= noticeTime
+func (membership *Membership) fresh(now time.Time) bool {
+	return membership.rows.Has(membership.self) && now.Sub(membership.scannedAt) < noticeTime && now.Sub(membership.freshSince) >= noticeTime
 }
 
 // Isolated says whether others may still, or again, divide this host's share among themselves.
-func (crowd *Crowd) Isolated(now time.Time) bool {
-	if crowd.fresh(now) {
+func (membership *Membership) Isolated(now time.Time) bool {
+	if membership.fresh(now) {
 		return false
 	}
-	members := crowd.members(now)
+	members := membership.members(now)
 	if len(members) < 2 {
 		// Nobody is left who could know of others.
 		return true
 	}
 	for host := range members {
-		if host != crowd.self && now.Sub(crowd.acked[host]) >= ackedFor {
+		if host != membership.self && now.Sub(membership.acked[host]) >= ackedFor {
 			return true
 		}
 	}
@@ -119,12 +119,12 @@
 }
 
 // Fraction returns the part of every limit that the host holds. Before anything is known it is a small one.
-func (crowd *Crowd) Fraction(now time.Time) float64 {
-	members := crowd.Members(now)
+func (membership *Membership) Fraction(now time.Time) float64 {
+	members := membership.Members(now)
 	switch {
 	case members == 0:
 		return isolatedPart / MaxHomes
-	case crowd.Isolated(now):
+	case membership.Isolated(now):
 		return isolatedPart / float64(members)
 	default:
 		return 1 / float64(members)
--- a/core/limit/crowd_test.go
+++ b/core/limit/membership_test.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	crowdExpel  = 9500 * time.Millisecond
-	crowdRenew  = 1500 * time.Millisecond
-	crowdDigest = 200 * time.Millisecond
+	memberExpel  = 9500 * time.Millisecond
+	memberRenew  = 1500 * time.Millisecond
+	memberDigest = 200 * time.Millisecond
 )
 
-// crowdHost is a host with its sight of the store and of the others.
-type crowdHost struct {
-	name  string
-	crowd *Crowd
+// memberHost is a host with its sight of the store and of the others.
+type memberHost struct {
+	name       string
+	membership *Membership
 	// storeCut and peerCut say whom the host cannot reach.
 	storeCut bool
 	peerCut  bool
@@ -28,27 +28,27 @@
 func TestSharesAddUpUnderCuts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 6).Draw(t, "hosts")
-		var hosts []*crowdHost
+		var hosts []*memberHost
 		rows := map[string]time.Time{}
 		start := time.Unix(1000, 0)
 		for number := range count {
 			name := fmt.Sprint("h", number)
-			hosts = append(hosts, &crowdHost{name: name, crowd: NewCrowd(name)})
+			hosts = append(hosts, &memberHost{name: name, membership: NewMembership(name)})
 			rows[name] = start
 		}
 		for step := range 300 {
-			now := start.Add(time.Duration(step) * crowdDigest)
+			now := start.Add(time.Duration(step) * memberDigest)
 			if rapid.IntRange(0, 30).Draw(t, "event") == 0 {
 				host := hosts[rapid.IntRange(0, count-1).Draw(t, "host")]
 				host.storeCut, host.peerCut = rapid.Bool().Draw(t, "store"), rapid.Bool().Draw(t, "peers")
 			}
 			for _, host := range hosts {
-				crowdStep(now, step, host, hosts, rows)
+				memberStep(now, step, host, hosts, rows)
 			}
 			// A host that hears another one counts it before it answers.
 			var sum float64
 			for _, host := range hosts {
-				sum += host.crowd.Fraction(now)
+				sum += host.membership.Fraction(now)
 			}
 			if sum > 1+isolatedPart+1e-9 {
 				t.Fatalf("at %s the shares add up to %.2f", now.Sub(start), sum)
@@ -57,24 +57,24 @@
 	})
 }
 
-// crowdStep lets a host renew, read the rows, expel others and exchange digests.
-func crowdStep(now time.Time, step int, host *crowdHost, hosts []*crowdHost, rows map[string]time.Time) {
-	if !host.storeCut && step%int(crowdRenew/crowdDigest) == 0 {
+// memberStep lets a host renew, read the rows, expel others and exchange digests.
+func memberStep(now time.Time, step int, host *memberHost, hosts []*memberHost, rows map[string]time.Time) {
+	if !host.storeCut && step%int(memberRenew/memberDigest) == 0 {
 		rows[host.name] = now
 		var names []string
 		for name, renewedAt := range rows {
-			if now.Sub(renewedAt) > crowdExpel {
+			if now.Sub(renewedAt) > memberExpel {
 				delete(rows, name)
 				continue
 			}
 			names = append(names, name)
 		}
-		host.crowd.Rows(now, names)
+		host.membership.Rows(now, names)
 	}
 	for _, other := range hosts {
 		if other != host && !host.peerCut && !other.peerCut {
-			other.crowd.Heard(now, host.name)
-			host.crowd.Acked(now, other.name)
+			other.membership.Heard(now, host.name)
+			host.membership.Acked(now, other.name)
 		}
 	}
 }
@@ -82,22 +82,22 @@
 func TestHostThatIsCutOffKeepsAQuarter(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	crowd := NewCrowd("a")
-	is.Equal(crowd.Fraction(now), isolatedPart/MaxHomes) // Nobody is known yet.
+	membership := NewMembership("a")
+	is.Equal(membership.Fraction(now), isolatedPart/MaxHomes) // Nobody is known yet.
 	names := []string{"a", "b", "c", "d"}
-	crowd.Rows(now, names)
-	is.Equal(crowd.Fraction(now), isolatedPart/4) // The others may not have seen it yet.
+	membership.Rows(now, names)
+	is.Equal(membership.Fraction(now), isolatedPart/4) // The others may not have seen it yet.
 	now = now.Add(noticeTime - time.Millisecond)
-	crowd.Rows(now, names)
+	membership.Rows(now, names)
 	now = now.Add(time.Millisecond)
-	is.Equal(crowd.Fraction(now), 0.25)
+	is.Equal(membership.Fraction(now), 0.25)
 	// Before: a host without the store took itself for the only one, and used the whole limit.
 	later := now.Add(noticeTime)
-	is.Equal(crowd.Fraction(later), isolatedPart/4)
+	is.Equal(membership.Fraction(later), isolatedPart/4)
 	for _, peer := range []string{"b", "c", "d"} {
-		crowd.Acked(later, peer)
+		membership.Acked(later, peer)
 	}
-	is.Equal(crowd.Fraction(later), 0.25) // All the others count it.
+	is.Equal(membership.Fraction(later), 0.25) // All the others count it.
 }
 
 func TestOverdraftIsBounded(t *testing.T) {
--- a/core/slots/census.go
+++ b/core/slots/census.go
@@ -7,41 +7,41 @@
 )
 
 // Model returns the base model of the server.
-func (keeper *Keeper) Model() string { return keeper.model }
+func (controller *Controller) Model() string { return controller.model }
 
 // HasModel says whether the base model is loaded.
-func (keeper *Keeper) HasModel() bool { return keeper.hasModel }
+func (controller *Controller) HasModel() bool { return controller.hasModel }
 
-// Synced says whether the keeper knows what the server holds.
-func (keeper *Keeper) Synced() bool { return keeper.synced }
+// Synced says whether the controller knows what the server holds.
+func (controller *Controller) Synced() bool { return controller.synced }
 
 // Known says whether the server has ever told what it holds.
-func (keeper *Keeper) Known() bool { return keeper.known }
+func (controller *Controller) Known() bool { return controller.known }
 
 // ModelOrdered says whether the base model is on its way.
-func (keeper *Keeper) ModelOrdered() bool { return !keeper.modelOrderAt.IsZero() }
+func (controller *Controller) ModelOrdered() bool { return !controller.modelOrderAt.IsZero() }
 
 // Census counts the adapters of a server by what happens to them.
 type Census struct {
-	Places   int
-	Ready    int
-	InUse    int
-	Loading  int
-	Wanted   int
-	Leaving  int
-	Busy     bool
-	Synced   bool
-	Sequence int64
+	Places    int
+	Ready     int
+	InUse     int
+	Loading   int
+	Requested int
+	Leaving   int
+	Busy      bool
+	Synced    bool
+	Sequence  int64
 }
 
 // Census returns the counts at an instant.
-func (keeper *Keeper) Census(now time.Time) Census {
-	census := Census{Places: keeper.places, Busy: now.Before(keeper.busyUntil), Synced: keeper.synced, Sequence: keeper.sequence}
-	for name, known := range keeper.entries {
+func (controller *Controller) Census(now time.Time) Census {
+	census := Census{Places: controller.places, Busy: now.Before(controller.busyUntil), Synced: controller.synced, Sequence: controller.sequence}
+	for name, known := range controller.entries {
 		switch known.phase {
 		case ready:
 			census.Ready++
-			if keeper.inUse(now, name) {
+			if controller.inUse(now, name) {
 				census.InUse++
 			}
 			if known.replacing {
@@ -49,8 +49,8 @@
 			}
 		case loading:
 			census.Loading++
-		case wanted:
-			census.Wanted++
+		case requested:
+			census.Requested++
 		case retiring, leaving:
 			census.Leaving++
 		}
@@ -58,13 +58,13 @@
 	return census
 }
 
-// Active says whether an order may follow without another wish.
-func (keeper *Keeper) Active() bool {
-	if !keeper.hasModel || !keeper.synced {
+// Active says whether an order may follow without another request.
+func (controller *Controller) Active() bool {
+	if !controller.hasModel || !controller.synced {
 		return true
 	}
-	for name, known := range keeper.entries {
-		if known.phase != ready || known.replacing || known.version < keeper.versions[name] {
+	for name, known := range controller.entries {
+		if known.phase != ready || known.replacing || known.version < controller.versions[name] {
 			return true
 		}
 	}
@@ -72,22 +72,22 @@
 }
 
 // Holds says whether the adapter of an order is loaded.
-func (keeper *Keeper) Holds(order lentilproxy.Order) bool {
-	known := keeper.entries[order.Ref.Adapter]
+func (controller *Controller) Holds(order lentilproxy.Order) bool {
+	known := controller.entries[order.Ref.Adapter]
 	return known != nil && known.phase == ready && !known.replacing
 }
 
 // inUse says whether a request for an adapter may be running or on its way.
-func (keeper *Keeper) inUse(now time.Time, adapter string) bool {
-	if known := keeper.entries[adapter]; known != nil && now.Sub(known.lastUse) < quietBefore {
+func (controller *Controller) inUse(now time.Time, adapter string) bool {
+	if known := controller.entries[adapter]; known != nil && now.Sub(known.lastUse) < quietBefore {
 		return true
 	}
-	return keeper.runs(now, adapter)
+	return controller.runs(now, adapter)
 }
 
 // runs says whether a host has told of a request for an adapter that runs.
-func (keeper *Keeper) runs(now time.Time, adapter string) bool {
-	for _, runs := range keeper.running {
+func (controller *Controller) runs(now time.Time, adapter string) bool {
+	for _, runs := range controller.running {
 		if runs.counts[adapter] > 0 && now.Sub(runs.at) < runningLifetime {
 			return true
 		}
@@ -96,20 +96,20 @@
 }
 
 // occupied says whether requests run on all that the server holds, so that no place becomes free soon.
-func (keeper *Keeper) occupied(now time.Time) bool {
-	return keeper.synced && keeper.taken() >= keeper.places && !keeper.makingRoom() && keeper.allRunning(now)
+func (controller *Controller) occupied(now time.Time) bool {
+	return controller.synced && controller.taken() >= controller.places && !controller.makingRoom() && controller.allRunning(now)
 }
 
 // blocked says whether the server has taken no orders for a while.
-func (keeper *Keeper) blocked(now time.Time) bool {
-	return keeper.busy > 0 && now.Sub(keeper.busySince) > maxBlocked
+func (controller *Controller) blocked(now time.Time) bool {
+	return controller.busy > 0 && now.Sub(controller.busySince) > maxBlocked
 }
 
-// wishes returns the number of adapters that wait for their turn.
-func (keeper *Keeper) wishes() int {
+// requests returns the number of adapters that wait for their turn.
+func (controller *Controller) waiting() int {
 	count := 0
-	for _, known := range keeper.entries {
-		if known.phase == wanted {
+	for _, known := range controller.entries {
+		if known.phase == requested {
 			count++
 		}
 	}
@@ -117,9 +117,9 @@
 }
 
 // allRunning says whether requests run on every adapter, so that none will make room soon.
-func (keeper *Keeper) allRunning(now time.Time) bool {
-	for name, known := range keeper.entries {
-		if known.phase == ready && !keeper.runs(now, name) {
+func (controller *Controller) allRunning(now time.Time) bool {
+	for name, known := range controller.entries {
+		if known.phase == ready && !controller.runs(now, name) {
 			return false
 		}
 	}
@@ -127,8 +127,8 @@
 }
 
 // makingRoom says whether an adapter is on its way out.
-func (keeper *Keeper) makingRoom() bool {
-	for _, known := range keeper.entries {
+func (controller *Controller) makingRoom() bool {
+	for _, known := range controller.entries {
 		if known.phase == leaving || known.phase == retiring {
 			return true
 		}
@@ -137,19 +137,19 @@
 }
 
 // taken returns the number of places in use.
-func (keeper *Keeper) taken() int {
+func (controller *Controller) taken() int {
 	count := 0
-	for _, known := range keeper.entries {
-		if known.phase != wanted {
+	for _, known := range controller.entries {
+		if known.phase != requested {
 			count++
 		}
 	}
 	return count
 }
 
-func (keeper *Keeper) inTransit() int {
+func (controller *Controller) inTransit() int {
 	count := 0
-	for _, known := range keeper.entries {
+	for _, known := range controller.entries {
 		if known.phase == loading || known.replacing {
 			count++
 		}
@@ -158,9 +158,9 @@
 }
 
 // Ready returns the adapters that can be used, with their versions.
-func (keeper *Keeper) Ready() map[string]int64 {
+func (controller *Controller) Ready() map[string]int64 {
 	held := map[string]int64{}
-	for name, known := range keeper.entries {
+	for name, known := range controller.entries {
 		if known.phase == ready && !known.replacing {
 			held[name] = known.version
 		}
@@ -169,10 +169,10 @@
 }
 
 // fromStore returns the number of adapters on their way from the weight store.
-func (keeper *Keeper) fromStore() int {
+func (controller *Controller) fromStore() int {
 	count := 0
-	for name, known := range keeper.entries {
-		if _, kept := keeper.recent[name]; (known.phase == loading || known.replacing) && !kept {
+	for name, known := range controller.entries {
+		if _, kept := controller.recent[name]; (known.phase == loading || known.replacing) && !kept {
 			count++
 		}
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -31,11 +31,11 @@
 	busyBackoff = 40 * time.Millisecond
 	// maxBusy is the number of such answers in a row after which the sequence is in doubt.
 	maxBusy = 25
-	// maxBlocked is how long a server may take no orders before wishes go to another one.
+	// maxBlocked is how long a server may take no orders before requests go to another one.
 	maxBlocked = 200 * time.Millisecond
-	// maxWanted is the number of wishes that may wait at one server: the weight store brings some seven adapters a second
+	// maxRequested is the number of requests that may wait at one server: the weight store brings some seven adapters a second
 	// to each, and callers wait for two to three seconds.
-	maxWanted = 10
+	maxRequested = 10
 	// MaxFromStore is the number of adapters that may be on their way from the weight store to one server. The store
 	// slows down beyond some two a server; one place in transit stays for adapters that the server held lately.
 	MaxFromStore = 3
@@ -43,8 +43,8 @@
 	maxRecent = 100
 	// reservePart is the number of places for each one that is kept free for the next load.
 	reservePart = 9
-	// wantLifetime is how long a load that was asked for is worth its place in the queue.
-	wantLifetime = 3 * time.Second
+	// requestLifetime is how long a load that was asked for is worth its place in the queue.
+	requestLifetime = 3 * time.Second
 	// resyncDelay is the time between a failed order and the report that tells its effect, which lags.
 	resyncDelay = 500 * time.Millisecond
 )
@@ -52,7 +52,7 @@
 type phase int
 
 const (
-	wanted phase = iota
+	requested phase = iota
 	// loading adapters take a place but cannot be used.
 	loading
 	ready
@@ -65,11 +65,11 @@
 type entry struct {
 	phase phase
 	// version is what the server has, or is loading.
-	version  int64
-	orderAt  time.Time
-	polledAt time.Time
-	wantedAt time.Time
-	lastUse  time.Time
+	version     int64
+	orderAt     time.Time
+	polledAt    time.Time
+	requestedAt time.Time
+	lastUse     time.Time
 	// demand is a count of requests that decays over demandHorizon, as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -95,8 +95,8 @@
 	at     time.Time
 }
 
-// Keeper decides for one life of one server. It is not safe for concurrent use.
-type Keeper struct {
+// Controller decides for one life of one server. It is not safe for concurrent use.
+type Controller struct {
 	places int
 	// model is the base model that the server has or should have.
 	model    string
@@ -126,19 +126,19 @@
 	versions map[string]int64
 }
 
-// New returns the keeper of a server of which nothing is known yet. A report is due at an instant.
-func New(model string, places int, reportAt time.Time) *Keeper {
-	return &Keeper{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}, recent: map[string]time.Time{}}
+// New returns the controller of a server of which nothing is known yet. A report is due at an instant.
+func New(model string, places int, reportAt time.Time) *Controller {
+	return &Controller{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}, recent: map[string]time.Time{}}
 }
 
 // Announce takes in the newest announced versions of the model's adapters.
-func (keeper *Keeper) Announce(versions map[string]int64) { keeper.versions = versions }
+func (controller *Controller) Announce(versions map[string]int64) { controller.versions = versions }
 
-func (keeper *Keeper) entry(now time.Time, adapter string) *entry {
-	known := keeper.entries[adapter]
+func (controller *Controller) entry(now time.Time, adapter string) *entry {
+	known := controller.entries[adapter]
 	if known == nil {
-		known = &entry{demandAt: now, lastUse: now, wantedAt: now}
-		keeper.entries[adapter] = known
+		known = &entry{demandAt: now, lastUse: now, requestedAt: now}
+		controller.entries[adapter] = known
 	}
 	return known
 }
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -95,11 +95,11 @@
 }
 
 // Whatever is asked for, announced and lost, the server is never ordered to load more than it has places for, and what
-// the keeper announces as loaded is loaded.
+// the controller announces as loaded is loaded.
 func TestServerIsNeverOverfilled(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engine := newEngine(rapid.IntRange(2, 18).Draw(t, "places"))
-		keeper := New("m", engine.places, start)
+		controller := New("m", engine.places, start)
 		now := start
 		lost := false
 		var reported time.Time
@@ -108,11 +108,11 @@
 			adapter := fmt.Sprintf("a%d", rapid.IntRange(0, 30).Draw(t, "adapter"))
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0, 1, 2, 3:
-				keeper.Want(now, adapter, 1)
+				controller.Request(now, adapter, 1)
 			case 4:
-				if keeper.Check(now, adapter) == WishReady {
+				if controller.State(now, adapter) == LoadReady {
 					engine.runs[adapter] = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "run")) * time.Millisecond)
-					keeper.Used(now, adapter, 1)
+					controller.Used(now, adapter, 1)
 				}
 			case 5:
 				engine.newest[adapter] = max(1, engine.newest[adapter]) + 1
@@ -120,37 +120,37 @@
 				for name, version := range engine.newest {
 					versions[name] = version
 				}
-				keeper.Announce(versions)
+				controller.Announce(versions)
 			}
-			if keeper.ReportDue(now) {
-				keeper.Reported(now, engine.report(now))
+			if controller.ReportDue(now) {
+				controller.Reported(now, engine.report(now))
 				reported = now
 				lost = false
 			}
-			keeper.Retire(now)
-			order, found := keeper.Next(now, true)
+			controller.Retire(now)
+			order, found := controller.Next(now, true)
 			if !found {
 				continue
 			}
-			keeper.Sent(now, order)
+			controller.Sent(now, order)
 			if rapid.IntRange(0, 40).Draw(t, "lose") == 0 {
 				if rapid.Bool().Draw(t, "done") {
 					engine.order(now, order)
 				}
-				keeper.Unanswered(now)
+				controller.Unanswered(now)
 				lost = true
 				continue
 			}
-			keeper.Answered(now, order, engine.order(now, order))
+			controller.Answered(now, order, engine.order(now, order))
 			if engine.overfull {
 				t.Fatalf("overfilled by %+v", order)
 			}
 		}
 		engine.settle(now)
-		if lost || reported.IsZero() || !keeper.Synced() {
+		if lost || reported.IsZero() || !controller.Synced() {
 			return
 		}
-		for name := range keeper.Ready() {
+		for name := range controller.Ready() {
 			if _, held := engine.held[name]; !held {
 				t.Fatalf("%s is announced and not loaded", name)
 			}
@@ -158,109 +158,109 @@
 	})
 }
 
-// serve runs the keeper against the engine for a while.
-func serve(now time.Time, duration time.Duration, keeper *Keeper, engine *engine) time.Time {
+// serve runs the controller against the engine for a while.
+func serve(now time.Time, duration time.Duration, controller *Controller, engine *engine) time.Time {
 	for end := now.Add(duration); now.Before(end); now = now.Add(5 * time.Millisecond) {
-		if keeper.ReportDue(now) {
-			keeper.Reported(now, engine.report(now))
+		if controller.ReportDue(now) {
+			controller.Reported(now, engine.report(now))
 		}
-		keeper.Retire(now)
-		if order, found := keeper.Next(now, true); found {
-			keeper.Sent(now, order)
-			keeper.Answered(now, order, engine.order(now, order))
+		controller.Retire(now)
+		if order, found := controller.Next(now, true); found {
+			controller.Sent(now, order)
+			controller.Answered(now, order, engine.order(now, order))
 		}
 	}
 	return now
 }
 
-func TestUnloadInUseDoesNotStopTheKeeperForLong(t *testing.T) {
+func TestUnloadInUseDoesNotStopTheControllerForLong(t *testing.T) {
 	is := is.New(t)
 	engine := newEngine(3)
-	keeper := New("m", 3, start)
+	controller := New("m", 3, start)
 	now := start
 	for _, name := range []string{"a", "b", "c"} {
-		keeper.Want(now, name, 1)
+		controller.Request(now, name, 1)
 	}
-	now = serve(now, time.Second, keeper, engine)
-	is.Equal(len(keeper.Ready()), 3)
-	// Another host's request for a runs, and the keeper does not know of it.
+	now = serve(now, time.Second, controller, engine)
+	is.Equal(len(controller.Ready()), 3)
+	// Another host's request for a runs, and the controller does not know of it.
 	engine.runs["a"] = now.Add(400 * time.Millisecond)
-	keeper.Used(now, "b", 5)
-	keeper.Used(now, "c", 5)
-	keeper.Want(now, "d", 1)
+	controller.Used(now, "b", 5)
+	controller.Used(now, "c", 5)
+	controller.Request(now, "d", 1)
 	// Before: each order that met the unload was taken for a wrong sequence and cost a report and half a second.
-	now = serve(now, 800*time.Millisecond, keeper, engine)
-	is.Equal(keeper.Check(now, "d"), WishReady)
+	now = serve(now, 800*time.Millisecond, controller, engine)
+	is.Equal(controller.State(now, "d"), LoadReady)
 }
 
 func TestAdaptersInUseAreNotUnloaded(t *testing.T) {
 	is := is.New(t)
 	engine := newEngine(2)
-	keeper := New("m", 2, start)
-	keeper.Want(start, "a", 1)
-	keeper.Want(start, "b", 1)
-	now := serve(start, time.Second, keeper, engine)
-	keeper.Running(now, "host", map[string]int{"a": 1, "b": 1})
-	is.Equal(keeper.Want(now, "c", 9), WishFull)
-	keeper.Running(now, "host", map[string]int{"a": 1})
-	is.Equal(keeper.Want(now, "c", 9), WishPending)
-	now = serve(now, time.Second, keeper, engine)
-	is.Equal(keeper.Check(now, "c"), WishReady)
-	_, held := keeper.Ready()["a"]
+	controller := New("m", 2, start)
+	controller.Request(start, "a", 1)
+	controller.Request(start, "b", 1)
+	now := serve(start, time.Second, controller, engine)
+	controller.Running(now, "host", map[string]int{"a": 1, "b": 1})
+	is.Equal(controller.Request(now, "c", 9), LoadRejected)
+	controller.Running(now, "host", map[string]int{"a": 1})
+	is.Equal(controller.Request(now, "c", 9), LoadPending)
+	now = serve(now, time.Second, controller, engine)
+	is.Equal(controller.State(now, "c"), LoadReady)
+	_, held := controller.Ready()["a"]
 	is.True(held)
 }
 
 func TestLeastDemandedMakesRoom(t *testing.T) {
 	is := is.New(t)
 	engine := newEngine(2)
-	keeper := New("m", 2, start)
-	keeper.Want(start, "busy", 1)
-	keeper.Want(start, "rare", 1)
-	now := serve(start, time.Second, keeper, engine)
-	keeper.Used(now, "busy", 20)
-	now = serve(now, time.Second, keeper, engine)
-	keeper.Want(now, "new", 1)
-	now = serve(now, time.Second, keeper, engine)
-	_, busy := keeper.Ready()["busy"]
-	_, rare := keeper.Ready()["rare"]
+	controller := New("m", 2, start)
+	controller.Request(start, "busy", 1)
+	controller.Request(start, "rare", 1)
+	now := serve(start, time.Second, controller, engine)
+	controller.Used(now, "busy", 20)
+	now = serve(now, time.Second, controller, engine)
+	controller.Request(now, "new", 1)
+	now = serve(now, time.Second, controller, engine)
+	_, busy := controller.Ready()["busy"]
+	_, rare := controller.Ready()["rare"]
 	is.True(busy)
 	is.True(!rare)
-	is.Equal(keeper.Check(now, "new"), WishReady)
+	is.Equal(controller.State(now, "new"), LoadReady)
 }
 
 func TestNewVersionWaitsForRuns(t *testing.T) {
 	is := is.New(t)
 	engine := newEngine(2)
-	keeper := New("m", 2, start)
-	keeper.Want(start, "a", 1)
-	now := serve(start, time.Second, keeper, engine)
-	keeper.Running(now, "host", map[string]int{"a": 1})
+	controller := New("m", 2, start)
+	controller.Request(start, "a", 1)
+	now := serve(start, time.Second, controller, engine)
+	controller.Running(now, "host", map[string]int{"a": 1})
 	engine.newest["a"] = 2
-	keeper.Announce(map[string]int64{"a": 2})
-	is.Equal(keeper.Want(now, "a", 1), WishFull) // It is loaded elsewhere meanwhile.
-	keeper.Running(now, "host", nil)
-	now = serve(now, time.Second, keeper, engine)
-	is.Equal(keeper.Check(now, "a"), WishReady)
-	is.Equal(keeper.Ready()["a"], int64(2))
+	controller.Announce(map[string]int64{"a": 2})
+	is.Equal(controller.Request(now, "a", 1), LoadRejected) // It is loaded elsewhere meanwhile.
+	controller.Running(now, "host", nil)
+	now = serve(now, time.Second, controller, engine)
+	is.Equal(controller.State(now, "a"), LoadReady)
+	is.Equal(controller.Ready()["a"], int64(2))
 }
 
 func TestServerThatStartedEmptyGetsItsModel(t *testing.T) {
 	is := is.New(t)
-	keeper := New("m", 2, start)
-	keeper.Reported(start, spec.Report{})
-	is.True(!keeper.HasModel())
-	_, found := keeper.Next(start, false)
+	controller := New("m", 2, start)
+	controller.Reported(start, spec.Report{})
+	is.True(!controller.HasModel())
+	_, found := controller.Next(start, false)
 	is.True(!found) // The weight store's rate does not allow it yet.
-	order, found := keeper.Next(start, true)
+	order, found := controller.Next(start, true)
 	is.True(found)
 	is.Equal(order.Ref, spec.AdapterRef{Model: "m"})
-	keeper.Sent(start, order)
-	keeper.Answered(start, order, lentilproxy.OrderAccepted)
-	is.True(keeper.ModelOrdered())
+	controller.Sent(start, order)
+	controller.Answered(start, order, lentilproxy.OrderAccepted)
+	is.True(controller.ModelOrdered())
 	now := start.Add(time.Second)
-	order, found = keeper.Next(now, false)
+	order, found = controller.Next(now, false)
 	is.True(found) // The question whether it has arrived needs no allowance.
-	keeper.Sent(now, order)
-	keeper.Answered(now, order, lentilproxy.OrderHolds)
-	is.True(keeper.HasModel())
+	controller.Sent(now, order)
+	controller.Answered(now, order, lentilproxy.OrderHolds)
+	is.True(controller.HasModel())
 }
--- a/io/coord/keeper.go
+++ b/io/coord/controller.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// keeperTick is the time between two looks at a server on which an adapter is in transit or waits.
-	keeperTick = 25 * time.Millisecond
-	// keeperIdle is the time between two looks at a server on which nothing is under way.
-	keeperIdle = 500 * time.Millisecond
+	// controllerTick is the time between two looks at a server on which an adapter is in transit or waits.
+	controllerTick = 25 * time.Millisecond
+	// controllerIdle is the time between two looks at a server on which nothing is under way.
+	controllerIdle = 500 * time.Millisecond
 )
 
-// keeper gives the orders for one life of one server.
-type keeper struct {
+// controller gives the orders for one life of one server.
+type controller struct {
 	server spec.Server
-	slots  *slots.Keeper
-	// wake ends a pause of the keeper's goroutine.
+	slots  *slots.Controller
+	// wake ends a pause of the controller's goroutine.
 	wake chan struct{}
 	// changed is closed and replaced whenever an order was answered.
 	changed chan struct{}
@@ -50,30 +50,30 @@
 	return loads.tokens >= 1
 }
 
-// updateKeepers starts and ends keepers, so that there is one for each server that this host holds.
-func (control *control) updateKeepers(now time.Time, view *spec.View) {
+// updateControllers starts and ends controllers, so that there is one for each server that this host holds.
+func (control *control) updateControllers(now time.Time, view *spec.View) {
 	held := map[string]bool{}
-	for _, name := range control.book.Held() {
+	for _, name := range control.registry.Held() {
 		server, found := view.Servers[name]
 		service, known := view.Config.Service(server.Service)
 		if !found || !known || service.Engine == nil {
 			continue
 		}
 		held[name] = true
-		running := control.keepers[name]
+		running := control.controllers[name]
 		if running != nil && running.server.Born != server.Born {
-			control.endKeeper(name)
+			control.endController(name)
 			running = nil
 		}
 		if running == nil {
-			running = control.startKeeper(now, server, service.Engine)
+			running = control.startController(now, server, service.Engine)
 		}
 		running.server = server
 		running.slots.Announce(versionsOf(view, running.slots.Model()))
 	}
-	for name := range control.keepers {
+	for name := range control.controllers {
 		if !held[name] {
-			control.endKeeper(name)
+			control.endController(name)
 		}
 	}
 }
@@ -88,14 +88,14 @@
 	return versions
 }
 
-func (control *control) startKeeper(now time.Time, server spec.Server, engine *spec.Engine) *keeper {
+func (control *control) startController(now time.Time, server spec.Server, engine *spec.Engine) *controller {
 	model := modelOf(server, engine)
 	ctx, cancel := context.WithCancel(control.coordinator.ctx)
-	started := &keeper{
+	started := &controller{
 		server: server, slots: slots.New(model, engine.Places(model), now), wake: make(chan struct{}, 1),
 		changed: make(chan struct{}), cancel: cancel,
 	}
-	control.keepers[server.ID] = started
+	control.controllers[server.ID] = started
 	control.coordinator.start(func() { control.keep(ctx, started) })
 	return started
 }
@@ -114,14 +114,14 @@
 	return largest
 }
 
-func (control *control) endKeeper(name string) {
-	control.keepers[name].cancel()
-	close(control.keepers[name].changed)
-	delete(control.keepers, name)
+func (control *control) endController(name string) {
+	control.controllers[name].cancel()
+	close(control.controllers[name].changed)
+	delete(control.controllers, name)
 	control.coordinator.traffic.unhold(name)
 }
 
-// step is what a keeper does next.
+// step is what a controller does next.
 type step struct {
 	server spec.Server
 	report bool
@@ -131,24 +131,24 @@
 }
 
 // keep gives orders until the server is no longer held.
-func (control *control) keep(ctx context.Context, keeper *keeper) {
+func (control *control) keep(ctx context.Context, controller *controller) {
 	coordinator := control.coordinator
 	for ctx.Err() == nil {
 		var next step
-		if !coordinator.do(func(now time.Time) { next = control.next(now, keeper) }) {
+		if !coordinator.do(func(now time.Time) { next = control.next(now, controller) }) {
 			return
 		}
 		switch {
 		case next.report:
 			report, err := coordinator.orders.Report(ctx, next.server)
-			coordinator.do(func(now time.Time) { control.reported(now, keeper, report, err) })
+			coordinator.do(func(now time.Time) { control.reported(now, controller, report, err) })
 		case next.send:
 			outcome, err := coordinator.send(ctx, next)
-			coordinator.do(func(now time.Time) { control.answered(now, keeper, next.order, outcome, err) })
+			coordinator.do(func(now time.Time) { control.answered(now, controller, next.order, outcome, err) })
 		default:
 			timer := time.NewTimer(next.wait)
 			select {
-			case <-keeper.wake:
+			case <-controller.wake:
 			case <-timer.C:
 			case <-ctx.Done():
 			}
@@ -165,35 +165,35 @@
 	return coordinator.orders.Order(ctx, next.server, next.order)
 }
 
-func (control *control) next(now time.Time, keeper *keeper) step {
-	if control.keepers[keeper.server.ID] != keeper {
-		return step{wait: keeperIdle}
+func (control *control) next(now time.Time, controller *controller) step {
+	if control.controllers[controller.server.ID] != controller {
+		return step{wait: controllerIdle}
 	}
-	token, holds := control.book.Holds(now, keeper.server.ID)
-	if keeper.slots.ReportDue(now) {
-		return step{server: keeper.server, report: true}
+	token, holds := control.registry.Holds(now, controller.server.ID)
+	if controller.slots.ReportDue(now) {
+		return step{server: controller.server, report: true}
 	}
-	if !holds || keeper.server.Draining {
-		return step{wait: keeperIdle}
+	if !holds || controller.server.Draining {
+		return step{wait: controllerIdle}
 	}
-	if keeper.slots.Retire(now) {
-		control.publishHeld(keeper)
+	if controller.slots.Retire(now) {
+		control.publishHeld(controller)
 	}
-	order, found := keeper.slots.Next(now, control.mayLoadModel(now, keeper.server))
+	order, found := controller.slots.Next(now, control.mayLoadModel(now, controller.server))
 	if !found {
-		if keeper.slots.Active() {
-			return step{wait: keeperTick}
+		if controller.slots.Active() {
+			return step{wait: controllerTick}
 		}
-		return step{wait: keeperIdle}
+		return step{wait: controllerIdle}
 	}
-	if order.Ref.Adapter == "" && !keeper.slots.ModelOrdered() {
+	if order.Ref.Adapter == "" && !controller.slots.ModelOrdered() {
 		control.modelLoad.tokens--
-		control.coordinator.log.Info("base model ordered", "server", keeper.server.ID, "model", order.Ref.Model, "token", token)
+		control.coordinator.log.Info("base model ordered", "server", controller.server.ID, "model", order.Ref.Model, "token", token)
 	}
 	order.Holder, order.Token = control.coordinator.settings.Host.Name, token
-	keeper.slots.Sent(now, order)
-	control.publishHeld(keeper)
-	return step{server: keeper.server, order: order, send: true}
+	controller.slots.Sent(now, order)
+	control.publishHeld(controller)
+	return step{server: controller.server, order: order, send: true}
 }
 
 func (control *control) mayLoadModel(now time.Time, server spec.Server) bool {
@@ -201,41 +201,41 @@
 	if !found || service.Engine == nil {
 		return false
 	}
-	return control.modelLoad.ready(now, service.Engine.LoadsPerSecond/float64(max(1, control.crowd.Members(now))))
+	return control.modelLoad.ready(now, service.Engine.LoadsPerSecond/float64(max(1, control.membership.Members(now))))
 }
 
-func (control *control) reported(now time.Time, keeper *keeper, report spec.Report, err error) {
+func (control *control) reported(now time.Time, controller *controller, report spec.Report, err error) {
 	if err != nil {
-		keeper.slots.ReportFailed(now)
+		controller.slots.ReportFailed(now)
 		return
 	}
-	keeper.slots.Reported(now, report)
-	control.coordinator.log.Info("server reported", "server", keeper.server.ID, "sequence", report.Sequence,
-		"adapters", len(keeper.slots.Ready()), "pending", len(report.Pending), "model", keeper.slots.HasModel())
-	control.settle(keeper)
+	controller.slots.Reported(now, report)
+	control.coordinator.log.Info("server reported", "server", controller.server.ID, "sequence", report.Sequence,
+		"adapters", len(controller.slots.Ready()), "pending", len(report.Pending), "model", controller.slots.HasModel())
+	control.settle(controller)
 }
 
-func (control *control) answered(now time.Time, keeper *keeper, order lentilproxy.Order, outcome lentilproxy.OrderOutcome, err error) {
+func (control *control) answered(now time.Time, controller *controller, order lentilproxy.Order, outcome lentilproxy.OrderOutcome, err error) {
 	coordinator := control.coordinator
-	known := keeper.slots.Holds(order)
+	known := controller.slots.Holds(order)
 	if err != nil {
-		keeper.slots.Unanswered(now)
-		coordinator.log.Info("order unanswered", "server", keeper.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
+		controller.slots.Unanswered(now)
+		coordinator.log.Info("order unanswered", "server", controller.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
 			"sequence", order.Sequence, "token", order.Token, "error", err.Error())
 	} else {
-		keeper.slots.Answered(now, order, outcome)
+		controller.slots.Answered(now, order, outcome)
 		if outcome == lentilproxy.OrderConflict {
 			coordinator.metrics.Counter("orders_conflicted").Inc(1)
 		} else if outcome != lentilproxy.OrderHolds && outcome != lentilproxy.OrderAccepted {
 			coordinator.metrics.Counter("orders_refused").Inc(1)
-			coordinator.log.Info("order refused", "server", keeper.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
+			coordinator.log.Info("order refused", "server", controller.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
 				"sequence", order.Sequence, "token", order.Token, "outcome", outcome)
 		}
 	}
-	if keeper.slots.Holds(order) != known {
+	if controller.slots.Holds(order) != known {
 		coordinator.metrics.Tagged(map[string]string{"kind": kindName(order.Kind)}).Counter("adapters_changed").Inc(1)
 	}
-	control.settle(keeper)
+	control.settle(controller)
 }
 
 func kindName(kind lentilproxy.OrderKind) string {
@@ -246,27 +246,27 @@
 }
 
 // settle tells everybody who waits for a server that something has changed.
-func (control *control) settle(keeper *keeper) {
-	if control.keepers[keeper.server.ID] != keeper {
+func (control *control) settle(controller *controller) {
+	if control.controllers[controller.server.ID] != controller {
 		return
 	}
-	control.publishHeld(keeper)
-	close(keeper.changed)
-	keeper.changed = make(chan struct{})
+	control.publishHeld(controller)
+	close(controller.changed)
+	controller.changed = make(chan struct{})
 }
 
 // publishHeld tells the host's own traffic what a server holds; peers learn it with the next digest.
-func (control *control) publishHeld(keeper *keeper) {
-	held := sched.Held{Adapters: keeper.slots.Ready(), Orderable: keeper.slots.Known()}
-	if keeper.slots.HasModel() || !keeper.slots.Known() {
-		held.Model = keeper.slots.Model()
+func (control *control) publishHeld(controller *controller) {
+	held := sched.Held{Adapters: controller.slots.Ready(), Orderable: controller.slots.Known()}
+	if controller.slots.HasModel() || !controller.slots.Known() {
+		held.Model = controller.slots.Model()
 	}
-	if keeper.revision > 0 && sameHeld(held, keeper.published) {
+	if controller.revision > 0 && sameHeld(held, controller.published) {
 		return
 	}
-	keeper.published = held
-	keeper.revision++
-	control.coordinator.traffic.hold(keeper.server.ID, keeper.server.Born, held)
+	controller.published = held
+	controller.revision++
+	control.coordinator.traffic.hold(controller.server.ID, controller.server.Born, held)
 }
 
 func sameHeld(left, right sched.Held) bool {
@@ -281,9 +281,9 @@
 	return true
 }
 
-func (keeper *keeper) rouse() {
+func (controller *controller) rouse() {
 	select {
-	case keeper.wake <- struct{}{}:
+	case controller.wake <- struct{}{}:
 	default:
 	}
 }
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -6,7 +6,7 @@
 //	store <─ renewals ─> leases ────┤                            ├──> loads, health (traffic)
 //	peers ── digests ──> server ────┼──> control goroutine ──────┤
 //	peers <─ digests ─── sender ────┤    (mirrors, leases,       ├──> digests ───> peers
-//	requests ─ wishes ──────────────┤     keepers of servers)    └──> orders ────> backend servers
+//	requests ─ loads ───────────────┤     controllers)           └──> orders ────> backend servers
 //	backend servers ─ outcomes ─────┘
 //
 // One goroutine owns the control state. Everything that waits for sockets runs beside it and posts what it learns.
@@ -91,8 +91,8 @@
 	fleet       *copied
 	// configVersion is the row version of the configuration that was decoded last.
 	configVersion int64
-	book          *lease.Book
-	keepers       map[string]*keeper
+	registry      *lease.Registry
+	controllers   map[string]*controller
 	peers         map[string]*peerState
 	// untold counts requests for adapters by server, until the server's holder is told.
 	untold map[string]map[string]float64
@@ -106,11 +106,11 @@
 	lapsed   map[string]time.Time
 	returned time.Time
 	faults   map[string]int64
-	// crowd decides this host's part of limits; members and isolated are what it said last.
-	crowd     *limit.Crowd
-	members   int
-	isolated  bool
-	modelLoad modelLoads
+	// membership decides this host's part of limits; members and isolated are what it said last.
+	membership *limit.Membership
+	members    int
+	isolated   bool
+	modelLoad  modelLoads
 }
 
 // New starts a coordinator that answers its peers on a listener.
@@ -136,11 +136,11 @@
 	control := &control{
 		coordinator: coordinator, operators: newCopied(operators, operatorsAge, rowsInterval), servers: newCopied(servers, serversAge, rowsInterval),
 		fleet: newCopied(lease.Table, fleetAge, fleetInterval),
-		book: lease.New(lease.Host{
+		registry: lease.New(lease.Host{
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, Run: coordinator.run,
 		}, settings.Bounds.LeaseGap),
-		keepers: map[string]*keeper{}, peers: map[string]*peerState{}, untold: map[string]map[string]float64{}, decoded: map[string]decodedServer{},
-		lapsed: map[string]time.Time{}, faults: map[string]int64{}, crowd: limit.NewCrowd(settings.Host.Name),
+		controllers: map[string]*controller{}, peers: map[string]*peerState{}, untold: map[string]map[string]float64{}, decoded: map[string]decodedServer{},
+		lapsed: map[string]time.Time{}, faults: map[string]int64{}, membership: limit.NewMembership(settings.Host.Name),
 	}
 	coordinator.traffic.control = control
 	coordinator.server = peer.NewServer(listener, coordinator.meter, control.handle)
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -19,7 +19,7 @@
 const (
 	methodDigest = "fleet.digest"
 	methodRows   = "fleet.rows"
-	methodWant   = "fleet.want"
+	methodLoad   = "fleet.load"
 	methodBorrow = "fleet.borrow"
 	methodReturn = "fleet.return"
 	methodDeath  = "fleet.death"
@@ -104,7 +104,7 @@
 	address string
 	// busy says that a call is under way.
 	busy bool
-	// told are the revisions of keepers that the peer was told.
+	// told are the revisions of controllers that the peer was told.
 	told  map[string]int64
 	count int
 	lost  bool
@@ -113,7 +113,7 @@
 // updatePeers takes in the hosts of the last scan.
 func (control *control) updatePeers(now time.Time) {
 	present := map[string]bool{}
-	for _, host := range control.book.Hosts() {
+	for _, host := range control.registry.Hosts() {
 		if host.Name == control.coordinator.settings.Host.Name {
 			continue
 		}
@@ -132,7 +132,7 @@
 			control.coordinator.log.Info("peer gone", "peer", name)
 		}
 	}
-	control.coordinator.traffic.members(now, control.book, control.peers)
+	control.coordinator.traffic.members(now, control.registry, control.peers)
 }
 
 // sendDigests tells every peer at a steady pace what has changed.
@@ -144,7 +144,7 @@
 			control.countUsed(now, used)
 			control.countRunning(now, coordinator.settings.Host.Name, running)
 			for server, adapters := range used {
-				if control.keepers[server] == nil {
+				if control.controllers[server] == nil {
 					for adapter, number := range adapters {
 						count(control.untold, server, adapter, number)
 					}
@@ -174,9 +174,9 @@
 // countUsed counts requests on servers that this host holds.
 func (control *control) countUsed(now time.Time, used map[string]map[string]float64) {
 	for server, adapters := range used {
-		if keeper := control.keepers[server]; keeper != nil {
+		if controller := control.controllers[server]; controller != nil {
 			for adapter, count := range adapters {
-				keeper.slots.Used(now, adapter, count)
+				controller.slots.Used(now, adapter, count)
 			}
 		}
 	}
@@ -184,8 +184,8 @@
 
 // countRunning takes in what requests of a host run on servers that this host holds.
 func (control *control) countRunning(now time.Time, host string, running map[string]map[string]int) {
-	for server, keeper := range control.keepers {
-		keeper.slots.Running(now, host, running[server])
+	for server, controller := range control.controllers {
+		controller.slots.Running(now, host, running[server])
 	}
 }
 
@@ -206,7 +206,7 @@
 		message.Newest[table.table] = table.Newest()
 	}
 	for server := range control.coordinator.View().Servers {
-		if holder, found := control.book.Holder(server); !found || holder.Name != peer.name {
+		if holder, found := control.registry.Holder(server); !found || holder.Name != peer.name {
 			continue
 		}
 		if len(control.untold[server]) > 0 {
@@ -218,10 +218,10 @@
 		}
 	}
 	told := map[string]int64{}
-	for name, keeper := range control.keepers {
-		if keeper.revision > peer.told[name] {
-			message.Held[name] = heldUpdate{Born: keeper.server.Born, Held: keeper.published}
-			told[name] = keeper.revision
+	for name, controller := range control.controllers {
+		if controller.revision > peer.told[name] {
+			message.Held[name] = heldUpdate{Born: controller.server.Born, Held: controller.published}
+			told[name] = controller.revision
 		}
 	}
 	go control.deliver(peer, message, told)
@@ -237,7 +237,7 @@
 	coordinator.post(func(now time.Time) {
 		peer.busy = false
 		if err == nil {
-			control.crowd.Acked(sentAt, peer.name)
+			control.membership.Acked(sentAt, peer.name)
 		}
 		if (err != nil) != peer.lost {
 			peer.lost = err != nil
@@ -343,8 +343,8 @@
 		return answer(params, control.takeDigest)
 	case methodRows:
 		return answer(params, control.rowsSince)
-	case methodWant:
-		return answer(params, func(params wantParams) wantResult { return control.want(ctx, params) })
+	case methodLoad:
+		return answer(params, func(params loadParams) loadResult { return control.load(ctx, params) })
 	case methodBorrow:
 		return answer(params, control.coordinator.traffic.lend)
 	case methodReturn:
@@ -369,7 +369,7 @@
 	control.coordinator.do(func(now time.Time) {
 		control.countUsed(now, message.Used)
 		control.countRunning(now, message.Host, message.Running)
-		control.crowd.Heard(now, message.Host)
+		control.membership.Heard(now, message.Host)
 		// The answer allows the sender its share, so that this host must have given it up before.
 		control.shareLimits(now)
 		control.coordinator.traffic.peer(now, message)
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -31,13 +31,13 @@
 func (control *control) renewOnce() bool {
 	coordinator := control.coordinator
 	joined := false
-	coordinator.do(func(time.Time) { joined = control.book.Joined() })
+	coordinator.do(func(time.Time) { joined = control.registry.Joined() })
 	if !joined && !control.scanFleet() {
 		// Whoever joins must have seen who is there.
 		return false
 	}
 	var renewal lentilproxy.Transaction
-	if !coordinator.do(func(time.Time) { renewal = control.book.Renewal() }) {
+	if !coordinator.do(func(time.Time) { renewal = control.registry.Renewal() }) {
 		return false
 	}
 	sentAt := clock.Now()
@@ -51,21 +51,21 @@
 
 func (control *control) renewed(sentAt, now time.Time, result lentilproxy.CommitResult, err error) {
 	coordinator := control.coordinator
-	leased := control.book.Leased(now)
+	leased := control.registry.Leased(now)
 	switch {
 	case err != nil:
 		coordinator.metrics.Counter("lease_renewals_failed").Inc(1)
 		if !leased && control.renewalLost.IsZero() {
 			control.renewalLost = sentAt
-			coordinator.log.Info("dependency lost", "dependency", "lease", "error", err.Error(), "held", len(control.book.Held()))
+			coordinator.log.Info("dependency lost", "dependency", "lease", "error", err.Error(), "held", len(control.registry.Held()))
 		}
 	case !result.Committed:
-		if control.book.RenewalRefused(now, result.Conflicts) {
+		if control.registry.RenewalRefused(now, result.Conflicts) {
 			coordinator.log.Info("lease lost", "reason", "another host has expelled this one")
-			control.updateKeepers(now, coordinator.View())
+			control.updateControllers(now, coordinator.View())
 		}
 	default:
-		control.book.Renewed(sentAt, now, result.Version)
+		control.registry.Renewed(sentAt, now, result.Version)
 		coordinator.leaseUntil.Store(sentAt.Add(lease.Term).UnixNano())
 		if !control.renewalLost.IsZero() {
 			coordinator.log.Info("dependency regained", "dependency", "lease", "away_ms", now.Sub(control.renewalLost).Milliseconds())
@@ -94,9 +94,9 @@
 			rows = append(rows, row)
 		}
 	}
-	control.book.Observe(control.fleet.provenAt, now, rows)
+	control.registry.Observe(control.fleet.provenAt, now, rows)
 	control.updatePeers(now)
-	control.updateKeepers(now, control.coordinator.View())
+	control.updateControllers(now, control.coordinator.View())
 	control.shareLimits(now)
 }
 
@@ -108,10 +108,10 @@
 	var expel, clean, wanted bool
 	var claims lease.Claims
 	if !coordinator.do(func(now time.Time) {
-		expulsion, expelled, expel = control.book.Expulsion()
-		claims, wanted = control.book.Claims(now, control.engines())
-		if control.book.Leased(now) && control.servers.lostSince.IsZero() {
-			cleanup, clean = control.book.Cleanup(control.present)
+		expulsion, expelled, expel = control.registry.Expulsion()
+		claims, wanted = control.registry.Claims(now, control.engines())
+		if control.registry.Leased(now) && control.servers.lostSince.IsZero() {
+			cleanup, clean = control.registry.Cleanup(control.present)
 		}
 	}) {
 		return false
@@ -135,24 +135,24 @@
 		return false
 	}
 	return coordinator.do(func(now time.Time) {
-		control.book.Claimed(now, claims, result.Version)
+		control.registry.Claimed(now, claims, result.Version)
 		coordinator.log.Info("servers claimed", "servers", claims.Servers, "token", result.Version)
-		control.updateKeepers(now, coordinator.View())
+		control.updateControllers(now, coordinator.View())
 	})
 }
 
 // shareLimits divides the limits over the hosts that take part.
 func (control *control) shareLimits(now time.Time) {
-	hosts := control.book.Hosts()
+	hosts := control.registry.Hosts()
 	names := make([]string, 0, len(hosts))
 	for _, host := range hosts {
 		names = append(names, host.Name)
 	}
-	control.crowd.Rows(control.book.ScannedAt(), names)
-	members, fraction, isolated := control.crowd.Members(now), control.crowd.Fraction(now), control.crowd.Isolated(now)
+	control.membership.Rows(control.registry.ScannedAt(), names)
+	members, fraction, isolated := control.membership.Members(now), control.membership.Fraction(now), control.membership.Isolated(now)
 	if isolated != control.isolated || members != control.members {
 		control.coordinator.log.Info("limits divided", "members", members, "before", control.members, "isolated", isolated,
-			"scan_age_ms", now.Sub(control.book.ScannedAt()).Milliseconds())
+			"scan_age_ms", now.Sub(control.registry.ScannedAt()).Milliseconds())
 	}
 	control.members, control.isolated = members, isolated
 	control.coordinator.traffic.share(now, members, fraction)
@@ -181,9 +181,9 @@
 	var release lentilproxy.Transaction
 	var held bool
 	if !coordinator.do(func(now time.Time) {
-		release, held = control.book.Release()
+		release, held = control.registry.Release()
 		coordinator.leaseUntil.Store(0)
-		control.updateKeepers(now, coordinator.View())
+		control.updateControllers(now, coordinator.View())
 	}) || !held {
 		return
 	}
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -156,7 +156,7 @@
 	}
 	switch {
 	case table == control.fleet:
-		if changed || provenAt.Sub(control.book.ScannedAt()) >= lease.RenewInterval/2 {
+		if changed || provenAt.Sub(control.registry.ScannedAt()) >= lease.RenewInterval/2 {
 			control.observeFleet(now)
 		}
 	case changed || (table == control.servers && len(control.lapsed) > 0):
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -18,7 +18,7 @@
 	control.logServers(last, next)
 	coordinator.view.Store(next)
 	coordinator.traffic.update(now, next)
-	control.updateKeepers(now, next)
+	control.updateControllers(now, next)
 }
 
 func (control *control) decodeOperators(next *spec.View) {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -40,7 +40,7 @@
 	// count is the number of hosts that share limits and budgets, fraction this host's part of limits.
 	count    int
 	fraction float64
-	wants    map[wantKey]*pendingWant
+	loads    map[loadKey]*pendingLoad
 	used     map[string]map[string]float64
 	// running counts requests by server and adapter.
 	running map[string]map[string]int
@@ -63,10 +63,10 @@
 func newTraffic(coordinator *Coordinator) *Traffic {
 	return &Traffic{
 		coordinator: coordinator, table: sched.New(coordinator.settings.Host.DataCentre),
-		fraction: limit.NewCrowd(coordinator.settings.Host.Name).Fraction(clock.Now()),
+		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
 		bank:     limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now())),
 		board:    guard.NewBoard(), budgets: map[string]*retry.Budget{},
-		wants: map[wantKey]*pendingWant{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
+		loads: map[loadKey]*pendingLoad{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		addresses: map[string]string{}, credited: make(chan struct{}), limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds,
 	}
@@ -81,13 +81,13 @@
 }
 
 // members takes in who the peers are and which servers they hold.
-func (traffic *Traffic) members(_ time.Time, book *lease.Book, peers map[string]*peerState) {
+func (traffic *Traffic) members(_ time.Time, registry *lease.Registry, peers map[string]*peerState) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	self := traffic.coordinator.settings.Host.Name
 	traffic.names = []string{}
 	clear(traffic.addresses)
-	for _, host := range book.Hosts() {
+	for _, host := range registry.Hosts() {
 		traffic.names = append(traffic.names, host.Name)
 		if _, found := peers[host.Name]; found {
 			traffic.addresses[host.Name] = host.PeerAddress
@@ -95,7 +95,7 @@
 	}
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
-		if known, found := book.Holder(name); found {
+		if known, found := registry.Holder(name); found {
 			traffic.holders[name] = holder{address: known.PeerAddress, own: known.Name == self}
 		}
 	}
@@ -165,24 +165,24 @@
 	return copied
 }
 
-// join returns the wish that requests share, and starts it if there is none.
-func (traffic *Traffic) join(key wantKey, begin func(*pendingWant)) *pendingWant {
+// join returns the load request that requests share, and starts it if there is none.
+func (traffic *Traffic) join(key loadKey, begin func(*pendingLoad)) *pendingLoad {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	pending := traffic.wants[key]
+	pending := traffic.loads[key]
 	if pending == nil {
-		pending = &pendingWant{done: make(chan struct{})}
-		traffic.wants[key] = pending
+		pending = &pendingLoad{done: make(chan struct{})}
+		traffic.loads[key] = pending
 		begin(pending)
 	}
 	pending.joined++
 	return pending
 }
 
-func (traffic *Traffic) leave(key wantKey) {
+func (traffic *Traffic) leave(key loadKey) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	delete(traffic.wants, key)
+	delete(traffic.loads, key)
 }
 
 // arrived takes in that an adapter can be used on a server, before its holder's next digest.
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -162,10 +162,10 @@
 	startedAt := clock.Now()
 	ctx, cancel := context.WithTimeout(call.ctx, call.firstBy.Sub(startedAt)-firstMargin)
 	defer cancel()
-	outcome := call.service.coordinator.Want(ctx, choice.Server, call.ask.Model.Adapter)
+	outcome := call.service.coordinator.Load(ctx, choice.Server, call.ask.Model.Adapter)
 	call.loadTime += clock.Now().Sub(startedAt)
-	call.service.metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("adapter_wishes").Inc(1)
-	if outcome == coord.WantReady {
+	call.service.metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("adapter_loads").Inc(1)
+	if outcome == coord.LoadReady {
 		return true
 	}
 	call.full.Add(choice.Server.ID)
