--- /dev/null
+++ b/io/serve/stream_test.go
@@ -0,0 +1,121 @@
+package serve
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+
+	"lentilproxy/core/refuse"
+	"lentilproxy/core/spec"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// pieces is a reader that returns one piece at a time, and then an error.
+type pieces struct {
+	rest [][]byte
+	end  error
+}
+
+// Read implements io.Reader.
+func (pieces *pieces) Read(buffer []byte) (int, error) {
+	if len(pieces.rest) == 0 {
+		return 0, pieces.end
+	}
+	count := copy(buffer, pieces.rest[0])
+	if pieces.rest[0] = pieces.rest[0][count:]; len(pieces.rest[0]) == 0 {
+		pieces.rest = pieces.rest[1:]
+	}
+	return count, nil
+}
+
+// However a stream is cut into pieces, whole events come out in order and what follows the last one is held back.
+func TestEventsAreCutWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ending := rapid.SampledFrom([]string{"\n\n", "\r\n\r\n"}).Draw(t, "ending")
+		var stream, want bytes.Buffer
+		for number := range rapid.IntRange(0, 12).Draw(t, "events") {
+			event := fmt.Sprintf("id: %d%sdata: %s", number, ending[:len(ending)/2], rapid.StringMatching(`[a-z ]{0,40}`).Draw(t, "data"))
+			stream.WriteString(event + ending)
+			want.WriteString(event + ending)
+		}
+		torn := rapid.SampledFrom([]string{"", "id: 99\ndata: to"}).Draw(t, "torn")
+		stream.WriteString(torn)
+		source := &pieces{end: io.EOF}
+		for rest := stream.Bytes(); len(rest) > 0; {
+			size := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			source.rest = append(source.rest, bytes.Clone(rest[:size]))
+			rest = rest[size:]
+		}
+		events := newEvents(source)
+		var got bytes.Buffer
+		for {
+			content, err := events.next()
+			if err != nil {
+				break
+			}
+			got.Write(content)
+		}
+		if got.String() != want.String() {
+			t.Fatalf("got %q, want %q", got.String(), want.String())
+		}
+		if string(events.rest) != torn {
+			t.Fatalf("held back %q", events.rest)
+		}
+	})
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	is := is.New(t)
+	source := &pieces{end: io.EOF}
+	for range maxEventBytes/1024 + 2 {
+		source.rest = append(source.rest, bytes.Repeat([]byte("x"), 1024))
+	}
+	_, err := newEvents(source).next()
+	is.True(errors.Is(err, errLongEvent))
+}
+
+func TestEventsThatTheCallerHasAreDropped(t *testing.T) {
+	for name, test := range map[string]struct {
+		last    string
+		resumed bool
+		content string
+		want    string
+	}{
+		"not resumed":  {"2", false, "id: 2\ndata: b\n\n", "id: 2\ndata: b\n\n"},
+		"one again":    {"2", true, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n"},
+		"all again":    {"3", true, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", ""},
+		"none":         {"2", true, "id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n"},
+		"without id":   {"2", true, "data: c\n\n", "data: c\n\n"},
+		"not a number": {"x", true, "id: 2\ndata: b\n\n", "id: 2\ndata: b\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			call := &call{lastEvent: test.last, resumed: test.resumed}
+			is.New(t).Equal(string(call.afterLast([]byte(test.content))), test.want)
+		})
+	}
+}
+
+func TestRefusalNeverDeniesARun(t *testing.T) {
+	is := is.New(t)
+	unknown := refuse.Unknown(502, refuse.CodeBackendFailed, "")
+	notRun := refuse.NotRun(503, refuse.CodeNoCapacity, "")
+	is.Equal(worse(unknown, notRun), unknown)
+	is.Equal(worse(notRun, unknown), unknown)
+	is.Equal(worse(notRun, notRun), notRun)
+}
+
+func TestTargetsAreChosenByWeight(t *testing.T) {
+	is := is.New(t)
+	targets := []spec.Target{{Service: "a", Weight: 900}, {Service: "b", Weight: 100}}
+	counts := map[string]int{}
+	for number := range 10_000 {
+		counts[pick(targets, fmt.Sprint(number))]++
+	}
+	is.True(counts["b"] > 850 && counts["b"] < 1150)
+	is.Equal(pick(targets, "same"), pick(targets, "same"))
+	is.Equal(pick([]spec.Target{{Service: "only"}}, "x"), "only")
+}
