--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -7,10 +7,10 @@
 
 	"lentilproxy"
 	"lentilproxy/core/guard"
-	"lentilproxy/core/limit"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
+	"lentilproxy/io/loans"
 
 	"github.com/samber/oops"
 )
@@ -20,8 +20,6 @@
 	methodDigest = "fleet.digest"
 	methodRows   = "fleet.rows"
 	methodLoad   = "fleet.load"
-	methodBorrow = "fleet.borrow"
-	methodReturn = "fleet.return"
 	methodDeath  = "fleet.death"
 )
 
@@ -80,20 +78,6 @@
 	Proofs map[string]proof             `json:"proofs"`
 }
 
-type borrowParams struct {
-	Host string      `json:"host"`
-	Asks []limit.Ask `json:"asks"`
-}
-
-type borrowResult struct {
-	Grants []limit.Grant `json:"grants"`
-}
-
-type returnParams struct {
-	Host    string         `json:"host"`
-	Returns []limit.Return `json:"returns"`
-}
-
 type deathParams struct {
 	Death guard.Death `json:"death"`
 }
@@ -345,10 +329,10 @@
 		return answer(params, control.rowsSince)
 	case methodLoad:
 		return answer(params, func(params loadParams) loadResult { return control.load(ctx, params) })
-	case methodBorrow:
-		return answer(params, control.coordinator.traffic.lend)
-	case methodReturn:
-		return answer(params, control.coordinator.traffic.takeBack)
+	case loans.MethodBorrow:
+		return answer(params, control.coordinator.traffic.loans.Lend)
+	case loans.MethodGiveBack:
+		return answer(params, control.coordinator.traffic.loans.TakeBack)
 	case methodDeath:
 		return answer(params, control.coordinator.traffic.takeDeath)
 	default:
--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -8,7 +8,6 @@
 	"lentilproxy/core/retry"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
-	"lentilproxy/io/clock"
 )
 
 // share takes in the number of hosts that share limits, and this host's part.
@@ -24,7 +23,6 @@
 
 // configureLimits divides the limits over the hosts. A limit that is new starts full, as nobody has used it.
 func (traffic *Traffic) configureLimits(now time.Time, view *spec.View) {
-	traffic.bank.SetOverdraft(overdraftPart * traffic.bounds.QuotaAllowance / float64(max(1, traffic.count)))
 	limits := map[string]limit.Entitlement{}
 	changed := false
 	for name, workspace := range view.Config.Workspaces() {
@@ -37,20 +35,23 @@
 	if !changed && len(limits) == len(traffic.limits) {
 		return
 	}
-	traffic.bank.Configure(now, limits)
-	for name := range limits {
-		if _, known := traffic.limits[name]; !known {
-			traffic.bank.Fill(now, name)
+	traffic.loans.Bank(func(bank *limit.Bank) {
+		bank.SetOverdraft(overdraftPart * traffic.bounds.QuotaAllowance / float64(max(1, traffic.count)))
+		bank.Configure(now, limits)
+		for name := range limits {
+			if _, known := traffic.limits[name]; !known {
+				bank.Fill(now, name)
+			}
 		}
-	}
+	})
 	traffic.limits = limits
 }
 
 // Standing returns what the host has of a workspace's limit.
 func (traffic *Traffic) Standing(now time.Time, workspace string) limit.Standing {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	return traffic.bank.Standing(now, workspace)
+	var standing limit.Standing
+	traffic.loans.Bank(func(bank *limit.Bank) { standing = bank.Standing(now, workspace) })
+	return standing
 }
 
 // reload takes changed bounds in. Budgets start anew with them.
@@ -93,116 +94,33 @@
 	return known
 }
 
-// Charge takes tokens from a workspace's limit, and waits a moment for other hosts' shares if the own is short.
+// Charge takes tokens from a workspace's limit. The platform counts what a request announces, so nothing is given back.
 func (traffic *Traffic) Charge(ctx context.Context, workspace string, tokens float64) limit.Outcome {
-	deadline := clock.Now().Add(borrowWait)
-	first := true
-	for {
-		now := clock.Now()
-		outcome, credited := traffic.spend(now, workspace, tokens, first)
-		if outcome != limit.Short || !now.Before(deadline) {
-			return outcome
-		}
-		first = false
-		traffic.coordinator.post(func(now time.Time) { traffic.exchange(now) })
-		timer := time.NewTimer(accrueWait)
-		select {
-		case <-credited:
-		case <-timer.C:
-		case <-ctx.Done():
-			return limit.Short
-		}
-		timer.Stop()
-	}
-}
-
-func (traffic *Traffic) spend(now time.Time, workspace string, tokens float64, first bool) (limit.Outcome, chan struct{}) {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	if first {
-		traffic.bank.Demand(now, workspace, tokens)
-	}
-	receipt, outcome := traffic.bank.Spend(now, workspace, tokens)
-	// The platform counts what a request announces, so nothing is given back.
-	traffic.bank.Refund(now, receipt, 0)
-	return outcome, traffic.credited
+	receipt, outcome := traffic.loans.Charge(ctx, workspace, tokens)
+	traffic.loans.Refund(receipt, 0)
+	return outcome
 }
 
-// exchange asks peers for shares of limits that run short here, and gives back what is not needed.
+// exchange moves shares of limits between this host and its peers.
 func (traffic *Traffic) exchange(now time.Time) {
 	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	if now.Sub(traffic.borrowedAt) < borrowInterval {
-		return
-	}
-	traffic.borrowedAt = now
-	byPeer := map[string][]limit.Ask{}
-	for _, ask := range traffic.bank.Asks(now, func(string) []string { return traffic.names }) {
-		byPeer[ask.Lender] = append(byPeer[ask.Lender], ask)
-	}
-	for lender, asks := range byPeer {
-		if address, found := traffic.addresses[lender]; found {
-			go traffic.borrow(address, asks)
-		}
-	}
-	back := map[string][]limit.Return{}
-	for _, entry := range traffic.bank.Returns(now) {
-		back[entry.Lender] = append(back[entry.Lender], entry)
-	}
-	for lender, entries := range back {
-		if address, found := traffic.addresses[lender]; found {
-			go traffic.giveBack(address, entries)
-		}
-	}
+	known := traffic.lenders
+	traffic.mutex.Unlock()
+	traffic.loans.Exchange(now, known)
 }
 
-func (traffic *Traffic) borrow(address string, asks []limit.Ask) {
-	coordinator := traffic.coordinator
-	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
-	defer cancel()
-	sentAt := clock.Now()
-	var result borrowResult
-	params := borrowParams{Host: coordinator.settings.Host.Name, Asks: asks}
-	if err := coordinator.peers.Call(ctx, address, methodBorrow, params, &result); err != nil {
-		coordinator.metrics.Counter("loans_failed").Inc(1)
-		return
-	}
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	for _, grant := range result.Grants {
-		traffic.bank.Credit(clock.Now(), sentAt, grant)
-	}
-	close(traffic.credited)
-	traffic.credited = make(chan struct{})
+// lenders are the hosts that share limits.
+type lenders struct {
+	names []string
+	// addresses holds those that can be asked.
+	addresses map[string]string
 }
 
-func (traffic *Traffic) giveBack(address string, entries []limit.Return) {
-	coordinator := traffic.coordinator
-	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
-	defer cancel()
-	params := returnParams{Host: coordinator.settings.Host.Name, Returns: entries}
-	if err := coordinator.peers.Call(ctx, address, methodReturn, params, nil); err != nil {
-		// The lender takes the loan back at its end.
-		coordinator.metrics.Counter("returns_failed").Inc(1)
-	}
-}
+// Lenders implements loans.Hosts.
+func (lenders lenders) Lenders(string) []string { return lenders.names }
 
-func (traffic *Traffic) lend(params borrowParams) borrowResult {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	now := clock.Now()
-	var result borrowResult
-	for _, ask := range params.Asks {
-		result.Grants = append(result.Grants, traffic.bank.Lend(now, params.Host, ask))
-	}
-	return result
-}
-
-func (traffic *Traffic) takeBack(params returnParams) bool {
-	traffic.mutex.Lock()
-	defer traffic.mutex.Unlock()
-	for _, back := range params.Returns {
-		traffic.bank.TakeBack(clock.Now(), params.Host, back)
-	}
-	return true
+// Address implements loans.Hosts.
+func (lenders lenders) Address(host string) (string, bool) {
+	address, found := lenders.addresses[host]
+	return address, found
 }
--- a/io/coord/suspects.go
+++ b/io/coord/suspects.go
@@ -27,7 +27,7 @@
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	traffic.board.Record(clock.Now(), death)
-	for _, address := range traffic.addresses {
+	for _, address := range traffic.lenders.addresses {
 		go func() {
 			ctx, cancel := context.WithTimeout(traffic.coordinator.ctx, peerTimeout)
 			defer cancel()
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -13,15 +13,12 @@
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/io/clock"
+	"lentilproxy/io/loans"
 )
 
 const (
 	// borrowWait bounds how long a request waits for tokens of other hosts: a refusal within it is still an early one.
 	borrowWait = 60 * time.Millisecond
-	// accrueWait is how often a request that waits looks at what the own share has accrued.
-	accrueWait = 10 * time.Millisecond
-	// borrowInterval bounds how often requests that wait cause an exchange of loans.
-	borrowInterval = 20 * time.Millisecond
 	// overdraftPart is the part of the tolerated excess over a limit that the hosts use together, each its share, for
 	// requests that the loans come too late for. The rest covers hosts that start again and forget what they spent.
 	overdraftPart = 0.65
@@ -34,7 +31,7 @@
 
 	mutex   sync.Mutex
 	table   *sched.Table
-	bank    *limit.Bank
+	loans   *loans.Exchanger
 	board   *guard.Board
 	budgets map[string]*retry.Budget
 	// count is the number of hosts that share limits and budgets, fraction this host's part of limits.
@@ -45,14 +42,10 @@
 	// running counts requests by server and adapter.
 	running map[string]map[string]int
 	holders map[string]holder
-	// addresses are the peers' addresses, in the order of their names.
-	addresses map[string]string
-	names     []string
-	// credited is closed whenever tokens arrive from another host.
-	credited   chan struct{}
-	borrowedAt time.Time
-	limits     map[string]limit.Entitlement
-	bounds     setup.Bounds
+	// lenders are the hosts that share limits. The value is replaced whole.
+	lenders lenders
+	limits  map[string]limit.Entitlement
+	bounds  setup.Bounds
 }
 
 type holder struct {
@@ -61,15 +54,18 @@
 }
 
 func newTraffic(coordinator *Coordinator) *Traffic {
-	return &Traffic{
+	traffic := &Traffic{
 		coordinator: coordinator, table: sched.New(coordinator.settings.Host.DataCentre),
 		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
-		bank:     limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now())),
 		board:    guard.NewBoard(), budgets: map[string]*retry.Budget{},
 		loads: map[loadKey]*pendingLoad{}, used: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
-		addresses: map[string]string{}, credited: make(chan struct{}), limits: map[string]limit.Entitlement{},
+		lenders: lenders{addresses: map[string]string{}}, limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds,
 	}
+	bank := limit.NewBank(coordinator.settings.Host.Name, limit.WithOpening(clock.Now()))
+	traffic.loans = loans.New(coordinator.ctx, coordinator.settings.Host.Name, bank, coordinator.peers.Call, borrowWait,
+		func() { coordinator.post(traffic.exchange) }, loans.WithClock(clock.Now), loans.WithMetrics(coordinator.metrics))
+	return traffic
 }
 
 // update takes a new view in.
@@ -85,14 +81,14 @@
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	self := traffic.coordinator.settings.Host.Name
-	traffic.names = []string{}
-	clear(traffic.addresses)
+	known := lenders{addresses: map[string]string{}}
 	for _, host := range registry.Hosts() {
-		traffic.names = append(traffic.names, host.Name)
+		known.names = append(known.names, host.Name)
 		if _, found := peers[host.Name]; found {
-			traffic.addresses[host.Name] = host.PeerAddress
+			known.addresses[host.Name] = host.PeerAddress
 		}
 	}
+	traffic.lenders = known
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
 		if known, found := registry.Holder(name); found {
@@ -133,7 +129,7 @@
 	traffic.table.Peer(now, message.Host, message.Usage)
 	for server, update := range message.Held {
 		traffic.table.Hold(server, update.Born, update.Held)
-		if address, found := traffic.addresses[message.Host]; found {
+		if address, found := traffic.lenders.addresses[message.Host]; found {
 			traffic.holders[server] = holder{address: address}
 		}
 	}
--- /dev/null
+++ b/io/loans/loans_test.go
@@ -0,0 +1,82 @@
+package loans
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"lentilproxy/core/limit"
+
+	"github.com/matryer/is"
+)
+
+// pair connects two exchangers without sockets.
+type pair map[string]*Exchanger
+
+// Lenders implements Hosts.
+func (pair pair) Lenders(string) []string { return []string{"a", "b"} }
+
+// Address implements Hosts.
+func (pair pair) Address(host string) (string, bool) { return host, true }
+
+func (pair pair) call(_ context.Context, address, method string, params, result any) error {
+	peer := pair[address]
+	if peer == nil {
+		return errors.New("nobody listens")
+	}
+	switch method {
+	case MethodBorrow:
+		*result.(*BorrowResult) = peer.Lend(params.(BorrowParams))
+	case MethodGiveBack:
+		*result.(*bool) = peer.TakeBack(params.(GiveBackParams))
+	}
+	return nil
+}
+
+// newPair returns two hosts that share a limit of 100 tokens a second.
+func newPair(both bool) pair {
+	pair := pair{}
+	for _, name := range []string{"a", "b"} {
+		bank := limit.NewBank(name, limit.WithOpening(time.Now().Add(-time.Second)))
+		bank.Configure(time.Now(), map[string]limit.Entitlement{"w": {Rate: 100, Burst: 100, Fraction: 0.5}})
+		bank.Fill(time.Now(), "w")
+		exchanger := New(context.Background(), name, bank, pair.call, 200*time.Millisecond, func() {
+			pair[name].Exchange(time.Now(), pair)
+		})
+		if name == "a" || both {
+			pair[name] = exchanger
+		}
+	}
+	return pair
+}
+
+func TestRequestGetsTokensOfTheOtherHost(t *testing.T) {
+	is := is.New(t)
+	pair := newPair(true)
+	_, outcome := pair["a"].Charge(context.Background(), "w", 80) // The own share is 50.
+	is.Equal(outcome, limit.Charged)
+	var left float64
+	pair["b"].Bank(func(bank *limit.Bank) { left = bank.Level(time.Now(), "w") })
+	is.True(left < 40)
+}
+
+func TestRequestWithoutTheOtherHostIsShort(t *testing.T) {
+	is := is.New(t)
+	pair := newPair(false)
+	startedAt := time.Now()
+	_, outcome := pair["a"].Charge(context.Background(), "w", 80)
+	is.Equal(outcome, limit.Short)
+	is.True(time.Since(startedAt) < time.Second)
+	_, outcome = pair["a"].Charge(context.Background(), "w", 30)
+	is.Equal(outcome, limit.Charged)
+}
+
+func TestExchangesAreApart(t *testing.T) {
+	is := is.New(t)
+	pair := newPair(true)
+	now := time.Now()
+	is.Equal(pair["a"].Exchange(now, pair), time.Duration(0))
+	is.Equal(pair["a"].Exchange(now, pair), minInterval)
+	is.Equal(pair["a"].Exchange(now.Add(minInterval), pair), time.Duration(0))
+}
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -8,25 +8,23 @@
 	"lentilproxy/core/conf"
 	"lentilproxy/core/fresh"
 	"lentilproxy/core/guard"
-	"lentilproxy/core/limit"
 	"lentilproxy/core/place"
+	"lentilproxy/io/loans"
 
 	"github.com/samber/oops"
 )
 
 // Methods of the protocol between daemons.
 const (
-	methodStatus   = "view.status"
-	methodNotify   = "view.notify"
-	methodChanges  = "view.changes"
-	methodBorrow   = "limit.borrow"
-	methodGiveBack = "limit.give_back"
-	methodAcquire  = "place.acquire"
-	methodReport   = "place.report"
-	methodRevoke   = "place.revoke"
-	methodCensus   = "place.census"
-	methodDeath    = "guard.death"
-	methodSuspect  = "guard.suspect"
+	methodStatus  = "view.status"
+	methodNotify  = "view.notify"
+	methodChanges = "view.changes"
+	methodAcquire = "place.acquire"
+	methodReport  = "place.report"
+	methodRevoke  = "place.revoke"
+	methodCensus  = "place.census"
+	methodDeath   = "guard.death"
+	methodSuspect = "guard.suspect"
 )
 
 // callTimeout bounds a call to a peer that answers at once.
@@ -51,20 +49,6 @@
 	Changes []conf.Change `json:"changes"`
 }
 
-type borrowParams struct {
-	Host string      `json:"host"`
-	Asks []limit.Ask `json:"asks"`
-}
-
-type borrowResult struct {
-	Grants []limit.Grant `json:"grants"`
-}
-
-type giveBackParams struct {
-	Host    string         `json:"host"`
-	Returns []limit.Return `json:"returns"`
-}
-
 type acquireParams struct {
 	Host    string        `json:"host"`
 	Pool    string        `json:"pool"`
@@ -125,10 +109,10 @@
 		return answer(ctx, control, params, control.onCensus)
 	case methodAcquire:
 		return control.handleAcquire(ctx, params)
-	case methodBorrow:
-		return direct(params, control.node.traffic.onBorrow)
-	case methodGiveBack:
-		return direct(params, control.node.traffic.onGiveBack)
+	case loans.MethodBorrow:
+		return direct(params, control.node.traffic.lend)
+	case loans.MethodGiveBack:
+		return direct(params, control.node.traffic.takeBack)
 	case methodRevoke:
 		return direct(params, control.node.traffic.onRevoke)
 	case methodSuspect:
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -75,8 +75,7 @@
 	draining  value.Set[string]
 	fetching  bool
 	proposing bool
-	// exchangedAt is when loans were last exchanged; exchangeDue says that a further exchange is on its way.
-	exchangedAt time.Time
+	// exchangeDue says that an exchange of loans is on its way.
 	exchangeDue bool
 	startedAt   time.Time
 	// sweepAfter is the row after which the next sweep goes on.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -15,6 +15,7 @@
 	"lentilproxy"
 	"lentilproxy/core/conf"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/loans"
 )
 
 // memoryTable is a table in memory that can be away for one host.
@@ -158,7 +159,7 @@
 	f.Cleanup(func() { node.Stop(context.Background()) })
 	waitFor(f, "the host is ready", ready(node))
 	methods := []string{
-		methodStatus, methodNotify, methodChanges, methodBorrow, methodGiveBack, methodAcquire, methodReport,
+		methodStatus, methodNotify, methodChanges, loans.MethodBorrow, loans.MethodGiveBack, methodAcquire, methodReport,
 		methodRevoke, methodCensus, methodDeath, methodSuspect, "unknown",
 	}
 	f.Add(uint8(0), []byte(`{"host":"host-2","revision":3}`))
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilproxy/core/conf"
+	"lentilproxy/core/limit"
 	"lentilproxy/core/value"
 
 	"github.com/samber/oops"
@@ -114,7 +115,9 @@
 	defer traffic.mutex.Unlock()
 	status.Permits = traffic.holder.Count()
 	status.Suspects = traffic.board.Suspects()
-	for _, resource := range state.List(conf.KindLimit) {
-		status.Limits = append(status.Limits, LimitStatus{Workspace: resource.Name, Level: traffic.bank.Level(now, resource.Name)})
-	}
+	traffic.loans.Bank(func(bank *limit.Bank) {
+		for _, resource := range state.List(conf.KindLimit) {
+			status.Limits = append(status.Limits, LimitStatus{Workspace: resource.Name, Level: bank.Level(now, resource.Name)})
+		}
+	})
 }
