--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -247,11 +247,11 @@
 func (reader *reader) listen(section *decl.Section) {
 	listen := &reader.settings.Listen
 	used := map[string]string{}
-	entries := []struct{ key, content string }{{"callers", listen.Callers}, {"peers", listen.Peers}}
+	entries := []struct{ key, content string }{{"callers", listen.Callers}, {"operators", listen.Operators}, {"peers", listen.Peers}}
 	if listen.Ready != "" || listen.Metrics != "" {
-		entries = append(entries, struct{ key, content string }{"ready", listen.Ready}, struct{ key, content string }{"metrics", listen.Metrics})
-	} else {
-		entries = append(entries, struct{ key, content string }{"operators", listen.Operators})
+		entries = []struct{ key, content string }{
+			{"callers", listen.Callers}, {"ready", listen.Ready}, {"peers", listen.Peers}, {"metrics", listen.Metrics},
+		}
 	}
 	for _, entry := range entries {
 		reader.address(section, entry.key, entry.content)
