--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -46,6 +46,8 @@
 	WrongModel bool `json:"wrong_model"`
 	// Refuse makes the engine answer 503 to new work.
 	Refuse bool `json:"refuse"`
+	// SlowCancelMS is the time that the engine takes to notice that a caller has left.
+	SlowCancelMS int `json:"slow_cancel_ms"`
 }
 
 // EngineStats counts what an engine did.
@@ -427,6 +429,7 @@
 	case <-run.life.Done():
 		cut(run.writer)
 	case <-run.request.Context().Done():
+		time.Sleep(time.Duration(run.fault.SlowCancelMS) * time.Millisecond)
 		run.stand.mutex.Lock()
 		run.stand.stats.Cancelled++
 		run.stand.mutex.Unlock()
--- a/io/gate/complete.go
+++ b/io/gate/complete.go
@@ -25,6 +25,8 @@
 	// bytesPerToken is how prompts are charged before an engine has counted their tokens.
 	bytesPerToken = 4
 	retryBackoff  = 20 * time.Millisecond
+	// cancelNotice is how long an engine may take to notice that a connection was closed: a step, and a busy machine.
+	cancelNotice  = 400 * time.Millisecond
 	overRateRetry = time.Second
 	maxTokenCount = 1 << 20
 )
@@ -204,7 +206,7 @@
 		}
 		var again bool
 		refusal, again = completion.attempt(slot)
-		completion.release(slot)
+		completion.release(slot, refusal == nil)
 		if refusal == nil || !again {
 			return refusal
 		}
@@ -212,8 +214,14 @@
 	return refusal
 }
 
-func (completion *completion) release(slot *node.Slot) {
-	slot.Release()
+// release ends the use of an instance. An answer that was not read to its end is cancelled by closing its connection,
+// which the engine notices a moment later; it serves until then.
+func (completion *completion) release(slot *node.Slot, whole bool) {
+	if whole {
+		slot.Release()
+	} else {
+		time.AfterFunc(cancelNotice, slot.Release)
+	}
 	if completion.alone != "" {
 		completion.gate.node.StopAlone(completion.digest, completion.alone)
 		completion.alone = ""
--- a/io/proc/faults_test.go
+++ b/io/proc/faults_test.go
@@ -1,8 +1,10 @@
 package proc
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -144,6 +146,40 @@
 	await(t, startWait, "the engine cancels it", func() bool { return engineStats(t, fleet.engines[0]).Cancelled == 1 })
 }
 
+// An engine takes a moment to notice that a caller has left; until then the adapter serves and must not be unloaded.
+func TestNothingUnloadedWhileACancelIsNoticed(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, fleetOptions{hosts: 1, engines: 1, slots: 1})
+	engineFault(t, fleet.engines[0], fake.EngineFault{SlowCancelMS: 120})
+	for round := range 8 {
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan struct{})
+		go func() {
+			defer close(gone)
+			model := fmt.Sprintf("shop/a%d", 1+round%2)
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fleet.hosts[0].callers+"/v1/completions",
+				strings.NewReader(completionBody(model, 5000)))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			request.Header.Set("Authorization", "Bearer "+fleet.key)
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		}()
+		await(t, startWait, "the engine runs it", func() bool { return engineStats(t, fleet.engines[0]).Running == 1 })
+		cancel()
+		<-gone
+		// The other adapter needs the only slot at once.
+		send(fleet.hosts[0], "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", 2-round%2), 2))
+	}
+	if stats := engineStats(t, fleet.engines[0]); stats.UnloadsWhileServing > 0 {
+		t.Fatalf("the engine reports a violation: %+v", stats)
+	}
+}
+
 var revisionLine = regexp.MustCompile(`"revision":(\d+).*configuration in force`)
 
 // Operators apply through all hosts, the table loses answers and goes away, and a host is stopped and resumed: every
