--- a/core/spec/server.go
+++ b/core/spec/server.go
@@ -64,8 +64,6 @@
 	Busy     bool
 	Sequence int64
 	Born     int64
-	Waiting  int
-	Running  int
 }
 
 // AdapterRef names an adapter of a model; an empty adapter stands for the model itself.
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -52,8 +52,6 @@
 type pendingLoad struct {
 	done    chan struct{}
 	outcome LoadOutcome
-	// joined counts the requests that share the load request.
-	joined float64
 }
 
 // Load has an adapter loaded on a server and waits until it can be used there.
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -171,7 +171,6 @@
 		traffic.loads[key] = pending
 		begin(pending)
 	}
-	pending.joined++
 	return pending
 }
 
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -89,8 +89,6 @@
 	// PromptTokens and OutputTokens are the sizes of the prompt and the longest answer; 0 if not said.
 	PromptTokens int64
 	OutputTokens int64
-	// Affinity names the shared beginning of the prompt, or is empty.
-	Affinity string
 }
 
 // Send is what a host adds to a request for a backend server.
