--- a/core/slots/census.go
+++ b/core/slots/census.go
@@ -79,7 +79,7 @@
 
 // inUse says whether a request for an adapter may be running or on its way.
 func (controller *Controller) inUse(now time.Time, adapter string) bool {
-	if known := controller.entries[adapter]; known != nil && now.Sub(known.lastUse) < quietBefore {
+	if known := controller.entries[adapter]; known != nil && now.Sub(known.lastUse) < controller.delay+quietMargin {
 		return true
 	}
 	return controller.runs(now, adapter)
--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -168,7 +168,7 @@
 // nextUnload unloads an adapter whose announcement everybody has got.
 func (controller *Controller) nextUnload(now time.Time) (lentilproxy.Order, bool) {
 	name := controller.oldestRetiring(now)
-	if name == "" || now.Sub(controller.entries[name].retiredAt) < noticeTime {
+	if name == "" || now.Sub(controller.entries[name].retiredAt) < controller.delay+noticeMargin {
 		return lentilproxy.Order{}, false
 	}
 	return controller.order(lentilproxy.Unload, name, 0), true
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -19,14 +19,16 @@
 	storeTime = 240 * time.Millisecond
 	// demandHorizon is the time over which the demand for an adapter is averaged.
 	demandHorizon = 12 * time.Second
-	// quietBefore is how long an adapter must not have been asked for before it makes room: hosts tell each other of
-	// their requests with a delay, and while an unload waits for its runs, the server takes no other order.
-	quietBefore = 450 * time.Millisecond
+	// DefaultDelay is the time in which hosts tell each other of their requests and holdings, unless there are many.
+	DefaultDelay = 200 * time.Millisecond
+	// quietMargin is how much longer than the delay an adapter must not have been asked for before it makes room: while an
+	// unload waits for its runs, the server takes no other order.
+	quietMargin = 250 * time.Millisecond
 	// runningLifetime is how long a host's count of its running requests counts.
 	runningLifetime = 2500 * time.Millisecond
-	// noticeTime is the time between the announcement that an adapter makes room and its unload, in which the other
-	// hosts learn of it.
-	noticeTime = 350 * time.Millisecond
+	// noticeMargin is how much longer than the delay an adapter that makes room stays loaded, so that the other hosts learn
+	// of it.
+	noticeMargin = 150 * time.Millisecond
 	// busyBackoff is the wait after an order that met another one under way.
 	busyBackoff = 40 * time.Millisecond
 	// maxBusy is the number of such answers in a row after which the sequence is in doubt.
@@ -98,6 +100,8 @@
 // Controller decides for one life of one server. It is not safe for concurrent use.
 type Controller struct {
 	places int
+	// delay is the time in which hosts tell each other of their requests and holdings.
+	delay time.Duration
 	// model is the base model that the server has or should have.
 	model    string
 	hasModel bool
@@ -128,9 +132,15 @@
 
 // New returns the controller of a server of which nothing is known yet. A report is due at an instant.
 func New(model string, places int, reportAt time.Time) *Controller {
-	return &Controller{places: places, model: model, resyncAt: reportAt, entries: map[string]*entry{}, versions: map[string]int64{}, running: map[string]hostRuns{}, recent: map[string]time.Time{}}
+	return &Controller{
+		places: places, delay: DefaultDelay, model: model, resyncAt: reportAt, entries: map[string]*entry{},
+		versions: map[string]int64{}, running: map[string]hostRuns{}, recent: map[string]time.Time{},
+	}
 }
 
+// Delay sets the time in which hosts tell each other of their requests and holdings.
+func (controller *Controller) Delay(delay time.Duration) { controller.delay = delay }
+
 // Announce takes in the newest announced versions of the model's adapters.
 func (controller *Controller) Announce(versions map[string]int64) { controller.versions = versions }
 
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -8,6 +8,7 @@
 	"lentilproxy"
 	"lentilproxy/core/guard"
 	"lentilproxy/core/sched"
+	"lentilproxy/core/slots"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loans"
@@ -25,9 +26,10 @@
 
 const (
 	// digestInterval is the time between two digests to each peer: it decides how old the load is that a host sees.
-	digestInterval = 200 * time.Millisecond
-	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often.
-	maxDigests = 30
+	digestInterval = slots.DefaultDelay
+	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often. With 24 peers in each
+	// turn, digests were half of a host's processor time.
+	maxDigests = 10
 	// rowsInterval and fleetInterval are the least times between two questions for rows of a table: the rows of hosts
 	// change with every renewal.
 	rowsInterval  = 100 * time.Millisecond
@@ -155,6 +157,12 @@
 	return peers
 }
 
+// digestDelay returns the time in which every peer is told once.
+func (control *control) digestDelay() time.Duration {
+	turns := max(1, (len(control.peers)+maxDigests-1)/maxDigests)
+	return time.Duration(turns) * digestInterval
+}
+
 // countUsed counts requests on servers that this host holds.
 func (control *control) countUsed(now time.Time, used map[string]map[string]float64) {
 	for server, adapters := range used {
