--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -27,8 +27,7 @@
 const (
 	// digestInterval is the time between two digests to each peer: it decides how old the load is that a host sees.
 	digestInterval = slots.DefaultDelay
-	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often. With 24 peers in each
-	// turn, digests were half of a host's processor time.
+	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often.
 	maxDigests = 10
 	// rowsInterval and fleetInterval are the least times between two questions for rows of a table: the rows of hosts
 	// change with every renewal.
@@ -261,8 +260,8 @@
 		switch {
 		case !found:
 		case known.Newest > table.Newest():
-			if now.Sub(table.pulledAt) >= table.pullInterval {
-				table.pulledAt = now
+			if !table.pulling && now.Sub(table.pulledAt) >= table.pullInterval {
+				table.pulling, table.pulledAt = true, now
 				params.After[table.table] = table.Newest()
 			}
 		case known.AgeMS >= 0:
@@ -293,6 +292,11 @@
 	var result rowsResult
 	err := coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
 	coordinator.post(func(now time.Time) {
+		for _, table := range control.tables() {
+			if _, asked := params.After[table.table]; asked {
+				table.pulling = false
+			}
+		}
 		if err != nil {
 			return
 		}
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -40,7 +40,9 @@
 	provenAt time.Time
 	// lostSince is when the first of the failed reads since the last good one was sent.
 	lostSince time.Time
-	// pulledAt is when a peer was asked for rows last, at intervals of at least pullInterval.
+	// pulling says that a peer is being asked for rows, pulledAt when, at intervals of at least pullInterval. A large row
+	// takes a while on a slow link, and asking others meanwhile would only fill it.
+	pulling      bool
 	pulledAt     time.Time
 	pullInterval time.Duration
 	// filter drops rows whose change does not matter.
--- /dev/null
+++ b/io/coord/pull_test.go
@@ -0,0 +1,76 @@
+package coord
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"lentilproxy"
+	"lentilproxy/core/setup"
+	"lentilproxy/core/spec"
+
+	"github.com/matryer/is"
+)
+
+// stillRows is a store without rows.
+type stillRows struct{}
+
+// Scan implements lentilproxy.Rows.
+func (stillRows) Scan(context.Context, string) (lentilproxy.Page, error) {
+	return lentilproxy.Page{Version: 1}, nil
+}
+
+// Changes implements lentilproxy.Rows.
+func (stillRows) Changes(context.Context, string, int64, time.Duration) (lentilproxy.Page, error) {
+	return lentilproxy.Page{Version: 1}, nil
+}
+
+// Commit implements lentilproxy.Rows.
+func (stillRows) Commit(context.Context, lentilproxy.Transaction) (lentilproxy.CommitResult, error) {
+	return lentilproxy.CommitResult{Committed: true, Version: 1}, nil
+}
+
+// stillSource decodes nothing.
+type stillSource struct{}
+
+// Tables implements lentilproxy.Source.
+func (stillSource) Tables() (operators, servers string) { return "operators", "servers" }
+
+// Operators implements lentilproxy.Source.
+func (stillSource) Operators(map[string]lentilproxy.Row) (*spec.Config, map[spec.AdapterRef]int64, []error) {
+	return nil, nil, nil
+}
+
+// Server implements lentilproxy.Source.
+func (stillSource) Server(lentilproxy.Row) (spec.Server, error) { return spec.Server{}, nil }
+
+// However many peers announce newer rows, one of them is asked at a time: a large row would fill the link again and
+// again while it is under way.
+func TestOnePeerIsAskedForRowsAtATime(t *testing.T) {
+	is := is.New(t)
+	// A peer that takes calls and never answers them.
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	coordinator := New(&setup.Settings{Host: setup.Host{Name: "host-1"}, Bounds: setup.DefaultBounds()},
+		Platform{Rows: stillRows{}, Source: stillSource{}}, listener)
+	defer coordinator.Kill()
+	control := coordinator.traffic.control
+	asked := 0
+	for range 20 {
+		coordinator.do(func(now time.Time) {
+			before := control.operators.pulledAt
+			peer := &peerState{name: "peer", address: silent.Addr().String(), told: map[string]int64{}}
+			control.compareNewest(peer, map[string]int64{"operators": 9})
+			if control.operators.pulledAt != before {
+				asked++
+			}
+		})
+		time.Sleep(rowsInterval / 5)
+	}
+	// The first question is given up after peerTimeout, as long as this test takes; four fit into that time.
+	is.True(asked >= 1 && asked <= 2)
+}
