Leftovers of the platform path

Removed: an accessor of callers' connections, one of the coordinator, one of the configuration, one of the controllers and a field, all without a use. Servers that are gone leave the list of decoded entries (it grew by some 500 B for each until the process ended). A reloaded allowance takes effect at once; before, with the next change of limits or hosts. Bytes exchanged with peers are on the metrics page.

--- a/core/slots/census.go
+++ b/core/slots/census.go
@@ -12,9 +12,6 @@
 // HasModel says whether the base model is loaded.
 func (controller *Controller) HasModel() bool { return controller.hasModel }
 
-// Synced says whether the controller knows what the server holds.
-func (controller *Controller) Synced() bool { return controller.synced }
-
 // Known says whether the server has ever told what it holds.
 func (controller *Controller) Known() bool { return controller.known }
 
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -147,7 +147,7 @@
 			}
 		}
 		engine.settle(now)
-		if lost || reported.IsZero() || !controller.Synced() {
+		if lost || reported.IsZero() || !controller.Census(now).Synced {
 			return
 		}
 		for name := range controller.Ready() {
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -208,9 +208,6 @@
 	return service, found
 }
 
-// Services returns all services by name.
-func (config *Config) Services() map[string]Service { return config.services }
-
 // Workspaces returns all workspaces by name.
 func (config *Config) Workspaces() map[string]Workspace { return config.workspaces }
 
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -105,7 +105,6 @@
 	// lapsed are servers whose entries went while the store was away, with the time until which they stay in use.
 	lapsed   map[string]time.Time
 	returned time.Time
-	faults   map[string]int64
 	// membership decides this host's part of limits; members and isolated are what it said last.
 	membership *limit.Membership
 	members    int
@@ -117,12 +116,13 @@
 func New(settings *setup.Settings, platform Platform, listener net.Listener, options ...Option) *Coordinator {
 	coordinator := &Coordinator{
 		settings: settings, rows: platform.Rows, source: platform.Source, orders: platform.Orders, log: logr.Discard(),
-		metrics: tally.NoopScope, run: uuid.NewString(), meter: peer.NewMeter(),
+		metrics: tally.NoopScope, run: uuid.NewString(),
 		done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(coordinator)
 	}
+	coordinator.meter = peer.NewMeter(coordinator.metrics)
 	coordinator.ctx, coordinator.cancel = context.WithCancel(context.Background())
 	coordinator.loop = loop.New(coordinator.ctx, taskQueue)
 	coordinator.view.Store(spec.EmptyView())
@@ -140,7 +140,7 @@
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, Run: coordinator.run,
 		}, settings.Bounds.LeaseGap),
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, untold: map[string]map[string]float64{}, decoded: map[string]decodedServer{},
-		lapsed: map[string]time.Time{}, faults: map[string]int64{}, membership: limit.NewMembership(settings.Host.Name),
+		lapsed: map[string]time.Time{}, membership: limit.NewMembership(settings.Host.Name),
 	}
 	coordinator.traffic.control = control
 	coordinator.server = peer.NewServer(listener, coordinator.meter, control.handle)
@@ -190,7 +190,7 @@
 func (coordinator *Coordinator) Traffic() *Traffic { return coordinator.traffic }
 
 // Reload takes changed bounds in.
-func (coordinator *Coordinator) Reload(bounds setup.Bounds) { coordinator.traffic.reload(bounds) }
+func (coordinator *Coordinator) Reload(bounds setup.Bounds) { coordinator.traffic.reload(clock.Now(), bounds) }
 
 // connectionMargin is the number of a server's connections that are left for orders and for hosts that are not known.
 const connectionMargin = 10
@@ -207,9 +207,6 @@
 // Ready says whether the host can serve requests.
 func (coordinator *Coordinator) Ready() bool { return coordinator.View().Ready() }
 
-// Meter counts the bytes exchanged with peers.
-func (coordinator *Coordinator) Meter() *peer.Meter { return coordinator.meter }
-
 // Done is closed once the coordinator has ended.
 func (coordinator *Coordinator) Done() <-chan struct{} { return coordinator.done }
 
--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -24,7 +24,8 @@
 // configureLimits divides the limits over the hosts. A limit that is new starts full, as nobody has used it.
 func (traffic *Traffic) configureLimits(now time.Time, view *spec.View) {
 	limits := map[string]limit.Entitlement{}
-	changed := false
+	overdraft := overdraftPart * traffic.bounds.QuotaAllowance / float64(max(1, traffic.count))
+	changed := overdraft != traffic.overdraft
 	for name, workspace := range view.Config.Workspaces() {
 		if workspace.Rate <= 0 {
 			continue
@@ -36,7 +37,7 @@
 		return
 	}
 	traffic.loans.Bank(func(bank *limit.Bank) {
-		bank.SetOverdraft(overdraftPart * traffic.bounds.QuotaAllowance / float64(max(1, traffic.count)))
+		bank.SetOverdraft(overdraft)
 		bank.Configure(now, limits)
 		for name := range limits {
 			if _, known := traffic.limits[name]; !known {
@@ -44,7 +45,7 @@
 			}
 		}
 	})
-	traffic.limits = limits
+	traffic.limits, traffic.overdraft = limits, overdraft
 }
 
 // Standing returns what the host has of a workspace's limit.
@@ -55,7 +56,7 @@
 }
 
 // reload takes changed bounds in. Budgets start anew with them.
-func (traffic *Traffic) reload(bounds setup.Bounds) {
+func (traffic *Traffic) reload(now time.Time, bounds setup.Bounds) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	if bounds == traffic.bounds {
@@ -63,6 +64,7 @@
 	}
 	traffic.bounds = bounds
 	clear(traffic.budgets)
+	traffic.configureLimits(now, traffic.coordinator.View())
 }
 
 func (traffic *Traffic) hostCount() int {
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -62,6 +62,10 @@
 			servers[key] = decoded.server
 		}
 	}
+	maps.DeleteFunc(control.decoded, func(key string, _ decodedServer) bool {
+		row, found := control.servers.Rows()[key]
+		return !found || row.Deleted
+	})
 	return servers
 }
 
--- a/io/coord/pull_test.go
+++ b/io/coord/pull_test.go
@@ -45,6 +45,19 @@
 // Server implements lentilproxy.Source.
 func (stillSource) Server(lentilproxy.Row) (spec.Server, error) { return spec.Server{}, nil }
 
+// newStill returns a coordinator on a store where nothing happens.
+func newStill(t *testing.T) *Coordinator {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	coordinator := New(&setup.Settings{Host: setup.Host{Name: "host-1"}, Bounds: setup.DefaultBounds()},
+		Platform{Rows: stillRows{}, Source: stillSource{}}, listener)
+	t.Cleanup(coordinator.Kill)
+	return coordinator
+}
+
 // However many peers announce newer rows, one of them is asked at a time: a large row would fill the link again and
 // again while it is under way.
 func TestOnePeerIsAskedForRowsAtATime(t *testing.T) {
@@ -53,11 +66,7 @@
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = silent.Close() }()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	coordinator := New(&setup.Settings{Host: setup.Host{Name: "host-1"}, Bounds: setup.DefaultBounds()},
-		Platform{Rows: stillRows{}, Source: stillSource{}}, listener)
-	defer coordinator.Kill()
+	coordinator := newStill(t)
 	control := coordinator.traffic.control
 	asked := 0
 	for range 20 {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -45,7 +45,9 @@
 	// lenders are the hosts that share limits. The value is replaced whole.
 	lenders lenders
 	limits  map[string]limit.Entitlement
-	bounds  setup.Bounds
+	// overdraft is what each workspace may take beyond its limit on this host, in tokens.
+	overdraft float64
+	bounds    setup.Bounds
 }
 
 type holder struct {
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -113,7 +113,7 @@
 	if status != 0 {
 		return nil, status
 	}
-	exchange.conn, exchange.body, exchange.arrived = conn, body, time.Now()
+	exchange.conn, exchange.body = conn, body
 	return exchange, 0
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -12,13 +12,12 @@
 
 // Exchange is one request and its answer.
 type Exchange struct {
-	conn    *conn
-	method  string
-	target  string
-	host    string
-	header  http.Header
-	body    []byte
-	arrived time.Time
+	conn   *conn
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
 	// close says that the caller wants the connection closed.
 	close bool
 	gone  atomic.Bool
@@ -44,9 +43,6 @@
 // Body returns the whole body.
 func (exchange *Exchange) Body() []byte { return exchange.body }
 
-// Arrived returns when the request had been read.
-func (exchange *Exchange) Arrived() time.Time { return exchange.arrived }
-
 // Gone says whether the caller has closed the connection.
 func (exchange *Exchange) Gone() bool { return exchange.gone.Load() }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -84,12 +84,13 @@
 func New(settings *setup.Settings, table lentilproxy.Table, hostList lentilproxy.HostList, listener net.Listener, options ...Option) *Node {
 	node := &Node{
 		settings: settings, table: table, hostList: hostList, listener: listener,
-		log: logr.Discard(), metrics: tally.NoopScope, backends: &http.Client{}, meter: peer.NewMeter(),
+		log: logr.Discard(), metrics: tally.NoopScope, backends: &http.Client{},
 		stopping: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(node)
 	}
+	node.meter = peer.NewMeter(node.metrics)
 	node.background, node.cancel = context.WithCancel(context.Background())
 	node.loop = loop.New(node.background, taskQueue)
 	node.view.Store(&View{state: conf.NewState(), changed: make(chan struct{})})
--- a/io/peer/meter.go
+++ b/io/peer/meter.go
@@ -3,16 +3,23 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Meter counts the bytes of all connections between daemons.
 type Meter struct {
 	sent     atomic.Int64
 	received atomic.Int64
+	// sentCounter and receivedCounter show the same on the metrics page.
+	sentCounter     tally.Counter
+	receivedCounter tally.Counter
 }
 
-// NewMeter returns a meter at 0.
-func NewMeter() *Meter { return &Meter{} }
+// NewMeter returns a meter at 0 that counts on a scope as well.
+func NewMeter(scope tally.Scope) *Meter {
+	return &Meter{sentCounter: scope.Counter("peer_bytes_sent"), receivedCounter: scope.Counter("peer_bytes_received")}
+}
 
 // Sent returns the bytes sent.
 func (meter *Meter) Sent() int64 { return meter.sent.Load() }
@@ -33,6 +40,7 @@
 func (conn *meteredConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	conn.meter.received.Add(int64(count))
+	conn.meter.receivedCounter.Inc(int64(count))
 	return count, err
 }
 
@@ -40,5 +48,6 @@
 func (conn *meteredConn) Write(buffer []byte) (int, error) {
 	count, err := conn.Conn.Write(buffer)
 	conn.meter.sent.Add(int64(count))
+	conn.meter.sentCounter.Inc(int64(count))
 	return count, err
 }
