--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -190,7 +190,9 @@
 func (coordinator *Coordinator) Traffic() *Traffic { return coordinator.traffic }
 
 // Reload takes changed bounds in.
-func (coordinator *Coordinator) Reload(bounds setup.Bounds) { coordinator.traffic.reload(clock.Now(), bounds) }
+func (coordinator *Coordinator) Reload(bounds setup.Bounds) {
+	coordinator.traffic.reload(clock.Now(), bounds)
+}
 
 // connectionMargin is the number of a server's connections that are left for orders and for hosts that are not known.
 const connectionMargin = 10
