Hosts exchange digests, one call for two hosts

Cause: at 25 hosts a host sent 50 digests a second and took as many, each of them with an answer that said next to nothing; about a third of its processor time (profile of 14 hosts in one process on stand-ins: 7 of 20.4 s in calls between hosts). What an answer tells counts as told once the peer's next digest names it, and so does the knowledge of being heard, on which limits rest.

Ruled out: relays of a data centre (two hops, and whoever relays has to be agreed on), fewer digests (what servers hold would be known later).

--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
 )
 
 const (
@@ -83,11 +84,13 @@
 	dataCentre string
 	servers    map[string]*server
 	copied     map[spec.AdapterRef]time.Time
+	// told is what each peer said last.
+	told map[string]map[string]Usage
 }
 
 // New returns the table of a host in a data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, servers: map[string]*server{}, copied: map[spec.AdapterRef]time.Time{}}
+	return &Table{dataCentre: dataCentre, servers: map[string]*server{}, copied: map[spec.AdapterRef]time.Time{}, told: map[string]map[string]Usage{}}
 }
 
 // Update takes in the registered servers. A server that has started again is a new one.
@@ -152,13 +155,27 @@
 
 // Peer takes in what another host's requests take.
 func (table *Table) Peer(now time.Time, host string, usages map[string]Usage) {
-	for name, known := range table.servers {
-		if usage, found := usages[name]; found {
-			known.peers[host] = peerUsage{usage: usage, at: now}
-		} else {
+	for name := range table.told[host] {
+		if known := table.servers[name]; known != nil {
 			delete(known.peers, host)
 		}
 	}
+	for name, usage := range usages {
+		if known := table.servers[name]; known != nil {
+			known.peers[host] = peerUsage{usage: usage, at: now}
+		}
+	}
+	table.told[host] = usages
+}
+
+// KeepPeers forgets what hosts have said that are none of the peers.
+func (table *Table) KeepPeers(now time.Time, peers value.Set[string]) {
+	for host := range table.told {
+		if !peers.Has(host) {
+			table.Peer(now, host, nil)
+			delete(table.told, host)
+		}
+	}
 }
 
 // Own returns what this host's requests take, for its peers.
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -206,3 +206,21 @@
 	_, found := table.Choose(start, orders, all, Job{})
 	is.True(!found)
 }
+
+func TestPeersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table := New("dc-0")
+	all := servers("chat", 2)
+	table.Update(all)
+	running := func() int {
+		return table.servers["chat-0"].usage(start).Running + table.servers["chat-1"].usage(start).Running
+	}
+	table.Peer(start, "host-1", map[string]Usage{"chat-0": {Running: 3}, "gone": {Running: 9}})
+	table.Peer(start, "host-2", map[string]Usage{"chat-1": {Running: 2}})
+	is.Equal(running(), 5)
+	table.Peer(start, "host-1", map[string]Usage{"chat-1": {Running: 1}})
+	is.Equal(running(), 3)
+	table.KeepPeers(start, value.NewSet("host-2"))
+	is.Equal(running(), 2)
+	is.Equal(len(table.told), 1)
+}
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -70,7 +70,7 @@
 		}
 		running.server = server
 		running.slots.Announce(versionsOf(view, running.slots.Model()))
-		running.slots.Delay(control.digestDelay())
+		running.slots.Delay(control.turns.Pace())
 	}
 	for name := range control.controllers {
 		if !held[name] {
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -26,6 +26,7 @@
 	"lentilproxy/core/limit"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
+	"lentilproxy/core/turns"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loop"
 	"lentilproxy/io/peer"
@@ -96,8 +97,10 @@
 	peers         map[string]*peerState
 	// untold counts requests for adapters by server, until the server's holder is told.
 	untold map[string]map[string]float64
-	// nextTold is the number of the peer that is told next.
-	nextTold int
+	// running counts this host's requests by server and adapter, as of the last look.
+	running map[string]map[string]int
+	// turns says which peers to call.
+	turns *turns.Schedule
 	// renewalLost is since when the lease could not be renewed.
 	renewalLost time.Time
 	// decoded are the servers of the mirror by their keys.
@@ -141,6 +144,7 @@
 		}, settings.Bounds.LeaseGap),
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, untold: map[string]map[string]float64{}, decoded: map[string]decodedServer{},
 		lapsed: map[string]time.Time{}, membership: limit.NewMembership(settings.Host.Name),
+		turns: turns.New(settings.Host.Name, digestInterval, maxExchanges),
 	}
 	coordinator.traffic.control = control
 	coordinator.server = peer.NewServer(listener, coordinator.meter, control.handle)
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -2,46 +2,33 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"lentilproxy"
-	"lentilproxy/core/guard"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/slots"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
-	"lentilproxy/io/loans"
-
-	"github.com/samber/oops"
-)
-
-// Methods between hosts.
-const (
-	methodDigest = "fleet.digest"
-	methodRows   = "fleet.rows"
-	methodLoad   = "fleet.load"
-	methodDeath  = "fleet.death"
 )
 
 const (
-	// digestInterval is the time between two digests to each peer: it decides how old the load is that a host sees.
+	// digestInterval is the time between two looks at which peers to exchange digests with: it decides how old the load is
+	// that a host sees.
 	digestInterval = slots.DefaultDelay
-	// maxDigests bounds the digests of one turn; with more peers, each of them is told less often.
-	maxDigests = 10
-	// rowsInterval and fleetInterval are the least times between two questions for rows of a table: the rows of hosts
-	// change with every renewal.
-	rowsInterval  = 100 * time.Millisecond
-	fleetInterval = 600 * time.Millisecond
+	// maxExchanges is the number of peers with whom a host has an exchange in every interval; with more peers, each of
+	// them has one less often.
+	maxExchanges = 10
 	// peerTimeout bounds a call between hosts.
 	peerTimeout = 400 * time.Millisecond
 	// fullEvery is the number of digests after which one tells everything again.
 	fullEvery = 15
 )
 
-// digest is what a host tells its peers.
+// digest is what two hosts tell each other in an exchange, one in the call and the other one in its answer.
 type digest struct {
 	Host string `json:"host"`
+	// Number tells the digest from others of its host; Received is that of the last one from the receiver.
+	Number   int64 `json:"number"`
+	Received int64 `json:"received,omitempty"`
 	// Newest holds the newest row version that the host knows of each table.
 	Newest map[string]int64 `json:"newest"`
 	// Usage is what the host's requests take on servers.
@@ -59,28 +46,10 @@
 	Held sched.Held `json:"held"`
 }
 
-// proof says that a host knows a table up to a version, which was the newest one some time ago.
-type proof struct {
-	Newest int64 `json:"newest"`
-	AgeMS  int64 `json:"age_ms"`
-}
-
+// digestResult answers a digest. The digest is empty if the answering host does not know the asking one.
 type digestResult struct {
 	Proofs map[string]proof `json:"proofs"`
-}
-
-type rowsParams struct {
-	// After holds the newest row version that the asking host knows of each table that it asks for.
-	After map[string]int64 `json:"after"`
-}
-
-type rowsResult struct {
-	Rows   map[string][]lentilproxy.Row `json:"rows"`
-	Proofs map[string]proof             `json:"proofs"`
-}
-
-type deathParams struct {
-	Death guard.Death `json:"death"`
+	Digest digest           `json:"digest"`
 }
 
 // peerState is what the host knows of one peer.
@@ -89,10 +58,45 @@
 	address string
 	// busy says that a call is under way.
 	busy bool
-	// told are the revisions of controllers that the peer was told.
+	// told are the revisions of controllers that the peer has surely been told.
 	told  map[string]int64
 	count int
 	lost  bool
+	// received is the number of the peer's last digest.
+	received int64
+	// answer is the last digest that went to the peer in an answer, until the peer tells whether it has got it.
+	answer sentAnswer
+}
+
+// sentAnswer is a digest that was sent in an answer.
+type sentAnswer struct {
+	number int64
+	sentAt time.Time
+	told   map[string]int64
+}
+
+// knows says whether the peer knows a revision of a controller, or will know it if the last answer arrives.
+func (peer *peerState) knows(controller string, revision int64) bool {
+	return revision <= max(peer.told[controller], peer.answer.told[controller])
+}
+
+// confirm takes in which digest the peer got last. It says whether it was the one in the last answer, and when that was
+// sent.
+func (peer *peerState) confirm(received int64) (sentAt time.Time, confirmed bool) {
+	answer := peer.answer
+	peer.answer = sentAnswer{}
+	if answer.number == 0 || answer.number != received {
+		return time.Time{}, false
+	}
+	peer.learnt(answer.told)
+	return answer.sentAt, true
+}
+
+// learnt takes in what the peer has surely been told.
+func (peer *peerState) learnt(told map[string]int64) {
+	for name, revision := range told {
+		peer.told[name] = max(peer.told[name], revision)
+	}
 }
 
 // updatePeers takes in the hosts of the last scan.
@@ -117,26 +121,20 @@
 			control.coordinator.log.Info("peer gone", "peer", name)
 		}
 	}
+	control.turns.SetPeers(now, value.Sorted(control.peers))
 	control.coordinator.traffic.members(now, control.registry, control.peers)
 }
 
-// sendDigests tells every peer at a steady pace what has changed.
+// sendDigests calls the peers whose turn it is, at a steady pace.
 func (control *control) sendDigests() {
 	coordinator := control.coordinator
 	for coordinator.pause(digestInterval) {
 		coordinator.do(func(now time.Time) {
-			used, running := coordinator.traffic.takeUsed(), coordinator.traffic.runningOn()
-			control.countUsed(now, used)
-			control.countRunning(now, coordinator.settings.Host.Name, running)
-			for server, adapters := range used {
-				if control.controllers[server] == nil {
-					for adapter, number := range adapters {
-						count(control.untold, server, adapter, number)
-					}
-				}
-			}
-			for _, peer := range control.turn() {
-				control.tell(peer, running)
+			control.collectUsed(now)
+			control.running = coordinator.traffic.runningOn()
+			control.countRunning(now, coordinator.settings.Host.Name, control.running)
+			for _, name := range control.turns.Due(now) {
+				control.call(now, control.peers[name])
 			}
 			control.shareLimits(now)
 			coordinator.traffic.exchange(now)
@@ -144,22 +142,18 @@
 	}
 }
 
-// turn returns the peers to tell now, all of them unless there are many.
-func (control *control) turn() []*peerState {
-	names := value.Sorted(control.peers)
-	peers := make([]*peerState, 0, min(len(names), maxDigests))
-	for range min(len(names), maxDigests) {
-		control.nextTold %= len(names)
-		peers = append(peers, control.peers[names[control.nextTold]])
-		control.nextTold++
+// collectUsed takes the requests since the last look, for this host's controllers and for the holders of other servers.
+func (control *control) collectUsed(now time.Time) {
+	used := control.coordinator.traffic.takeUsed()
+	control.countUsed(now, used)
+	for server, adapters := range used {
+		if control.controllers[server] != nil {
+			continue
+		}
+		for adapter, number := range adapters {
+			count(control.untold, server, adapter, number)
+		}
 	}
-	return peers
-}
-
-// digestDelay returns the time in which every peer is told once.
-func (control *control) digestDelay() time.Duration {
-	turns := max(1, (len(control.peers)+maxDigests-1)/maxDigests)
-	return time.Duration(turns) * digestInterval
 }
 
 // countUsed counts requests on servers that this host holds.
@@ -180,45 +174,57 @@
 	}
 }
 
-func (control *control) tell(peer *peerState, running map[string]map[string]int) {
-	if peer.busy {
-		return
-	}
-	peer.busy = true
+// compose returns a digest for a peer, and the revisions of controllers that it tells.
+func (control *control) compose(now time.Time, peer *peerState) (digest, map[string]int64) {
 	peer.count++
 	if peer.count%fullEvery == 1 {
-		clear(peer.told)
+		peer.told, peer.answer.told = map[string]int64{}, nil
 	}
 	message := digest{
-		Host: control.coordinator.settings.Host.Name, Newest: map[string]int64{},
+		Host: control.coordinator.settings.Host.Name, Number: now.UnixNano(), Received: peer.received, Newest: map[string]int64{},
 		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Held: map[string]heldUpdate{},
 	}
 	for _, table := range control.tables() {
 		message.Newest[table.table] = table.Newest()
 	}
-	for server := range control.coordinator.View().Servers {
-		if holder, found := control.registry.Holder(server); !found || holder.Name != peer.name {
-			continue
-		}
-		if len(control.untold[server]) > 0 {
-			message.Used[server] = control.untold[server]
+	for server, used := range control.untold {
+		if control.heldBy(server, peer) {
+			message.Used[server] = used
 			delete(control.untold, server)
 		}
-		if len(running[server]) > 0 {
-			message.Running[server] = running[server]
+	}
+	for server, running := range control.running {
+		if control.heldBy(server, peer) {
+			message.Running[server] = running
 		}
 	}
 	told := map[string]int64{}
 	for name, controller := range control.controllers {
-		if controller.revision > peer.told[name] {
+		if !peer.knows(name, controller.revision) {
 			message.Held[name] = heldUpdate{Born: controller.server.Born, Held: controller.published}
 			told[name] = controller.revision
 		}
 	}
-	go control.deliver(peer, message, told)
+	return message, told
+}
+
+func (control *control) heldBy(server string, peer *peerState) bool {
+	holder, found := control.registry.Holder(server)
+	return found && holder.Name == peer.name
+}
+
+// call begins an exchange with a peer.
+func (control *control) call(now time.Time, peer *peerState) {
+	if peer.busy {
+		return
+	}
+	peer.busy = true
+	control.turns.Called(now, peer.name)
+	message, told := control.compose(now, peer)
+	go control.exchange(peer, message, told)
 }
 
-func (control *control) deliver(peer *peerState, message digest, told map[string]int64) {
+func (control *control) exchange(peer *peerState, message digest, told map[string]int64) {
 	coordinator := control.coordinator
 	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
 	defer cancel()
@@ -227,9 +233,6 @@
 	err := coordinator.peers.Call(ctx, peer.address, methodDigest, message, &result)
 	coordinator.post(func(now time.Time) {
 		peer.busy = false
-		if err == nil {
-			control.membership.Acked(sentAt, peer.name)
-		}
 		if (err != nil) != peer.lost {
 			peer.lost = err != nil
 			control.logPeer(peer, err)
@@ -237,8 +240,10 @@
 		if err != nil {
 			return
 		}
-		for name, revision := range told {
-			peer.told[name] = max(peer.told[name], revision)
+		control.membership.Acked(sentAt, peer.name)
+		peer.learnt(told)
+		if result.Digest.Host == peer.name {
+			control.learn(now, peer, result.Digest)
 		}
 		control.compare(now, sentAt, peer, result.Proofs)
 	})
@@ -252,140 +257,40 @@
 	control.coordinator.log.Info("dependency regained", "dependency", "peer", "peer", peer.name)
 }
 
-// compare takes in a peer's proofs about tables that this host knows as well, and asks for the rows of the others.
-func (control *control) compare(now, askedAt time.Time, peer *peerState, proofs map[string]proof) {
-	params := rowsParams{After: map[string]int64{}}
-	for _, table := range control.tables() {
-		known, found := proofs[table.table]
-		switch {
-		case !found:
-		case known.Newest > table.Newest():
-			if !table.pulling && now.Sub(table.pulledAt) >= table.pullInterval {
-				table.pulling, table.pulledAt = true, now
-				params.After[table.table] = table.Newest()
-			}
-		case known.AgeMS >= 0:
-			control.took(now, askedAt.Add(-time.Duration(known.AgeMS)*time.Millisecond), table, false)
-		}
-	}
-	if len(params.After) > 0 {
-		go control.pull(peer, params)
-	}
-}
-
-// compareNewest asks a peer for rows that it has announced.
-func (control *control) compareNewest(peer *peerState, newest map[string]int64) {
-	proofs := map[string]proof{}
-	for table, version := range newest {
-		// What a message says of its age cannot be told, as it may have been under way for long.
-		proofs[table] = proof{Newest: version, AgeMS: -1}
-	}
-	control.compare(clock.Now(), time.Time{}, peer, proofs)
-}
-
-// pull asks a peer for rows.
-func (control *control) pull(peer *peerState, params rowsParams) {
-	coordinator := control.coordinator
-	ctx, cancel := context.WithTimeout(coordinator.ctx, peerTimeout)
-	defer cancel()
-	askedAt := clock.Now()
-	var result rowsResult
-	err := coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
-	coordinator.post(func(now time.Time) {
-		for _, table := range control.tables() {
-			if _, asked := params.After[table.table]; asked {
-				table.pulling = false
-			}
-		}
-		if err != nil {
-			return
-		}
-		for _, table := range control.tables() {
-			provenAt := table.provenAt
-			if known := result.Proofs[table.table]; known.AgeMS >= 0 && known.Newest > 0 {
-				provenAt = askedAt.Add(-time.Duration(known.AgeMS) * time.Millisecond)
-			}
-			rows, asked := result.Rows[table.table]
-			if !asked {
-				continue
-			}
-			changed := table.Merge(rows)
-			if changed && table.table != control.fleet.table {
-				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.table, "rows", len(rows), "version", table.Newest())
-			}
-			control.took(now, provenAt, table, changed)
-		}
-	})
-}
-
-// proofs returns what this host can prove of its mirrors.
-func (control *control) proofs(now time.Time) map[string]proof {
-	proofs := map[string]proof{}
-	for _, table := range control.tables() {
-		age := int64(-1)
-		if !table.provenAt.IsZero() {
-			// Rounded up, so that no proof becomes younger by being told.
-			age = now.Sub(table.provenAt).Milliseconds() + 1
+// learn takes a digest of a peer in. A nil peer is one that this host does not know yet.
+func (control *control) learn(now time.Time, peer *peerState, message digest) {
+	control.countUsed(now, message.Used)
+	control.countRunning(now, message.Host, message.Running)
+	control.membership.Heard(now, message.Host)
+	if peer != nil {
+		peer.received = message.Number
+		if sentAt, confirmed := peer.confirm(message.Received); confirmed {
+			control.membership.Acked(sentAt, peer.name)
 		}
-		proofs[table.table] = proof{Newest: table.Newest(), AgeMS: age}
 	}
-	return proofs
-}
-
-// handle answers a call of a peer.
-func (control *control) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
-	switch method {
-	case methodDigest:
-		return answer(params, control.takeDigest)
-	case methodRows:
-		return answer(params, control.rowsSince)
-	case methodLoad:
-		return answer(params, func(params loadParams) loadResult { return control.load(ctx, params) })
-	case loans.MethodBorrow:
-		return answer(params, control.coordinator.traffic.loans.Lend)
-	case loans.MethodGiveBack:
-		return answer(params, control.coordinator.traffic.loans.TakeBack)
-	case methodDeath:
-		return answer(params, control.coordinator.traffic.takeDeath)
-	default:
-		return nil, oops.Code("unknown_method").Errorf("unknown method %q", method)
-	}
-}
-
-func answer[P, R any](params json.RawMessage, serve func(P) R) (any, error) {
-	var decoded P
-	if err := json.Unmarshal(params, &decoded); err != nil {
-		return nil, oops.Code("bad_params").Wrap(err)
-	}
-	return serve(decoded), nil
+	// What follows tells the sender that it was heard, so that this host must have given up the sender's share before.
+	control.shareLimits(now)
+	control.coordinator.traffic.peer(now, message)
 }
 
+// takeDigest answers a peer's call.
 func (control *control) takeDigest(message digest) digestResult {
 	var result digestResult
-	control.coordinator.do(func(now time.Time) {
-		control.countUsed(now, message.Used)
-		control.countRunning(now, message.Host, message.Running)
-		control.membership.Heard(now, message.Host)
-		// The answer allows the sender its share, so that this host must have given it up before.
-		control.shareLimits(now)
-		control.coordinator.traffic.peer(now, message)
-		result = digestResult{Proofs: control.proofs(now)}
-		if peer := control.peers[message.Host]; peer != nil {
-			control.compareNewest(peer, message.Newest)
-		}
-	})
+	control.coordinator.do(func(now time.Time) { result = control.answerDigest(now, message) })
 	return result
 }
 
-func (control *control) rowsSince(params rowsParams) rowsResult {
-	var result rowsResult
-	control.coordinator.do(func(now time.Time) {
-		result = rowsResult{Rows: map[string][]lentilproxy.Row{}, Proofs: control.proofs(now)}
-		for _, table := range control.tables() {
-			if after, asked := params.After[table.table]; asked {
-				result.Rows[table.table] = table.Since(after)
-			}
-		}
-	})
+func (control *control) answerDigest(now time.Time, message digest) digestResult {
+	peer := control.peers[message.Host]
+	control.learn(now, peer, message)
+	result := digestResult{Proofs: control.proofs(now)}
+	if peer == nil {
+		return result
+	}
+	control.turns.Met(now, peer.name)
+	control.compareNewest(peer, message.Newest)
+	var told map[string]int64
+	result.Digest, told = control.compose(now, peer)
+	peer.answer = sentAnswer{number: result.Digest.Number, sentAt: now, told: told}
 	return result
 }
--- /dev/null
+++ b/io/coord/methods.go
@@ -0,0 +1,51 @@
+package coord
+
+import (
+	"context"
+	"encoding/json"
+
+	"lentilproxy/core/guard"
+	"lentilproxy/io/loans"
+
+	"github.com/samber/oops"
+)
+
+// Methods between hosts.
+const (
+	methodDigest = "fleet.digest"
+	methodRows   = "fleet.rows"
+	methodLoad   = "fleet.load"
+	methodDeath  = "fleet.death"
+)
+
+type deathParams struct {
+	Death guard.Death `json:"death"`
+}
+
+// handle answers a call of a peer.
+func (control *control) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case methodDigest:
+		return answer(params, control.takeDigest)
+	case methodRows:
+		return answer(params, control.rowsSince)
+	case methodLoad:
+		return answer(params, func(params loadParams) loadResult { return control.load(ctx, params) })
+	case loans.MethodBorrow:
+		return answer(params, control.coordinator.traffic.loans.Lend)
+	case loans.MethodGiveBack:
+		return answer(params, control.coordinator.traffic.loans.TakeBack)
+	case methodDeath:
+		return answer(params, control.coordinator.traffic.takeDeath)
+	default:
+		return nil, oops.Code("unknown_method").Errorf("unknown method %q", method)
+	}
+}
+
+func answer[P, R any](params json.RawMessage, serve func(P) R) (any, error) {
+	var decoded P
+	if err := json.Unmarshal(params, &decoded); err != nil {
+		return nil, oops.Code("bad_params").Wrap(err)
+	}
+	return serve(decoded), nil
+}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -12,6 +12,7 @@
 	"lentilproxy/core/sched"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loans"
 )
@@ -79,7 +80,7 @@
 }
 
 // members takes in who the peers are and which servers they hold.
-func (traffic *Traffic) members(_ time.Time, registry *lease.Registry, peers map[string]*peerState) {
+func (traffic *Traffic) members(now time.Time, registry *lease.Registry, peers map[string]*peerState) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	self := traffic.coordinator.settings.Host.Name
@@ -91,6 +92,7 @@
 		}
 	}
 	traffic.lenders = known
+	traffic.table.KeepPeers(now, value.NewSet(known.names...))
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
 		if known, found := registry.Holder(name); found {
