A request that was refused as not run gives its tokens back

Cause: a workspace's tokens were settled as soon as they were charged, so that requests which no server could take, or that came too late for an adapter, used up the limit, and later ones were refused in their place. Now the charge is settled with the end of the request: what may have run counts whole, what surely has not counts nothing. Test: four requests in a row without a server, under a limit that holds one of them; the second one was refused for its rate.

--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -96,11 +96,20 @@
 	return known
 }
 
-// Charge takes tokens from a workspace's limit. The platform counts what a request announces, so nothing is given back.
-func (traffic *Traffic) Charge(ctx context.Context, workspace string, tokens float64) limit.Outcome {
-	receipt, outcome := traffic.loans.Charge(ctx, workspace, tokens)
-	traffic.loans.Refund(receipt, 0)
-	return outcome
+// Charge takes tokens from a workspace's limit. The receipt, nil if there is none, has to be settled.
+func (traffic *Traffic) Charge(ctx context.Context, workspace string, tokens float64) (*limit.Receipt, limit.Outcome) {
+	return traffic.loans.Charge(ctx, workspace, tokens)
+}
+
+// Settle ends a charge. A request that may have run counts with all that it announced, and any other one not at all.
+func (traffic *Traffic) Settle(receipt *limit.Receipt, ran bool) {
+	switch {
+	case receipt == nil:
+	case ran:
+		traffic.loans.Refund(receipt, 0)
+	default:
+		traffic.loans.Refund(receipt, receipt.Tokens())
+	}
 }
 
 // exchange moves shares of limits between this host and its peers.
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -15,6 +15,7 @@
 // finish answers a refused request, and records the outcome.
 func (call *call) finish(refusal *refuse.Refusal) {
 	service := call.service
+	service.coordinator.Traffic().Settle(call.receipt, refusal == nil || refusal.Executed() != refuse.ExecutedNo)
 	switch {
 	case refusal == nil:
 	case call.exchange.Gone():
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -94,6 +94,8 @@
 	firstBy time.Time
 	// cost is what the request takes of its workspace's limit.
 	cost float64
+	// receipt is for the charge of the cost.
+	receipt *limit.Receipt
 	// digest identifies requests with the same caller and content, over attempts of the caller.
 	digest string
 	// avoid are the servers that this request is not sent to again.
@@ -217,7 +219,9 @@
 			call.cost = call.workspace.DefaultTokens
 		}
 	}
-	switch call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, call.cost) {
+	receipt, outcome := call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, call.cost)
+	call.receipt = receipt
+	switch outcome {
 	case limit.Charged, limit.Unlimited:
 		return nil
 	case limit.Never:
