A workspace beyond its limit causes few messages between hosts

Each request that found too few tokens had its host ask all 24 others, every 20 ms, for a share of a limit that was used up; 14 hosts in one process spent 33.6 s instead of 17.0 s of processor time for it. Asks in vain now double their distance, to 0.4 s; a request asks as many hosts as should have its tokens; and one that nothing can bring its tokens within its wait is refused at once, not after 60 ms.

What a lender has at hand goes to the request that waits.

--- a/core/limit/account.go
+++ b/core/limit/account.go
@@ -42,6 +42,9 @@
 	demand   demand
 	// waiting is the size of the largest request that found too few tokens since the last asks.
 	waiting float64
+	// askedAt is when other hosts were asked last, for more than the extension of loans; the next time is askWait later.
+	askedAt time.Time
+	askWait time.Duration
 	// pressure is the greatest demand of another host that asked while this one held borrowed shares.
 	pressure float64
 }
--- a/core/limit/bank.go
+++ b/core/limit/bank.go
@@ -17,6 +17,13 @@
 	returnBefore = 300 * time.Millisecond
 	// reserveTime is the time of its recent demand for which a lender keeps tokens.
 	reserveTime = 200 * time.Millisecond
+	// minAskWait is the least time between two rounds of asks for one workspace. It doubles up to maxAskWait while the
+	// rounds bring less than is lacking: the workspace is then beyond its limit, which others cannot change. What
+	// accrues elsewhere meanwhile is not lost, since bursts hold more than that time's tokens.
+	minAskWait = 20 * time.Millisecond
+	maxAskWait = 400 * time.Millisecond
+	// answerTime is the time in which hosts answer asks, usually.
+	answerTime = 30 * time.Millisecond
 	// minLoanPart is the smallest part of a limit that is worth a loan by itself.
 	minLoanPart = 0.01
 )
@@ -53,8 +60,8 @@
 	Demand float64 `json:"demand"`
 	// Need is the size of the largest request that waits, in tokens.
 	Need float64 `json:"need,omitempty"`
-	// Lender is the host to ask.
-	Lender string `json:"lender"`
+	// Lender is the host to ask, which knows that it is meant.
+	Lender string `json:"-"`
 }
 
 // Grant is a lender's answer. A duration of 0 grants nothing.
@@ -256,9 +263,19 @@
 	for workspace, account := range bank.accounts {
 		account.settle(now)
 		account.demand.decay(now)
-		rate, burst := account.wants(bank.limits[workspace])
+		var rate, burst, need float64
+		if sinceAsked := now.Sub(account.askedAt); sinceAsked >= account.askWait {
+			need = max(0, account.waiting-account.level)
+			// What only may be needed is asked for half as often.
+			if need > 0 || sinceAsked >= 2*account.askWait {
+				rate, burst = account.wants(bank.limits[workspace])
+			}
+		}
+		if rate > 0 || need > 0 {
+			account.asking(now)
+		}
 		homes := lenders(workspace)
-		chosen := bank.choose(homes, rate, account.waiting > account.level, bank.limits[workspace])
+		chosen := bank.choose(homes, rate, need, bank.limits[workspace])
 		for _, lender := range homes {
 			if lender == bank.host || (!chosen[lender] && !account.extends(now, lender)) {
 				continue
@@ -272,36 +289,52 @@
 	return asks
 }
 
-// choose returns the lenders to ask for more: all for a request that waits, otherwise as many as have the rate between
-// them and one more, others each time.
-func (bank *Bank) choose(homes []string, rate float64, urgent bool, limit Entitlement) map[string]bool {
+// choose returns the lenders to ask for more: as many as have the rate between them, or the tokens that a request needs
+// if their accounts are half full, and one more, others each time.
+func (bank *Bank) choose(homes []string, rate, need float64, limit Entitlement) map[string]bool {
 	chosen := map[string]bool{}
-	if rate <= 0 && !urgent {
+	if rate <= 0 && need <= 0 {
 		return chosen
 	}
-	count := len(homes)
-	if !urgent {
-		count = min(count, int(math.Ceil(rate*float64(len(homes))/limit.Rate))+1)
-	}
-	for range count {
+	part := max(rate/limit.Rate, 2*need/limit.Burst)
+	for range min(len(homes), int(math.Ceil(part*float64(len(homes))))+1) {
 		bank.turn++
 		chosen[homes[bank.turn%len(homes)]] = true
 	}
 	return chosen
 }
 
+// asking notes that other hosts are being asked for more.
+func (account *account) asking(now time.Time) {
+	wait := minAskWait
+	if now.Sub(account.askedAt) < 2*maxAskWait {
+		wait = min(max(2*account.askWait, minAskWait), maxAskWait)
+	}
+	account.askedAt, account.askWait = now, wait
+}
+
+// Hopeless says whether nothing can bring the tokens for a request until an instant: neither what accrues here nor other
+// hosts, which were asked in vain and are not asked again before.
+func (bank *Bank) Hopeless(now time.Time, workspace string, tokens float64, until time.Time) bool {
+	account := bank.account(now, workspace)
+	accrued := account.level + account.effective().rate*until.Sub(now).Seconds()
+	return tokens > accrued+bank.overdraft && now.Sub(account.askedAt) >= answerTime && account.askedAt.Add(account.askWait).After(until)
+}
+
 // wants returns what the account lacks for its recent demand, or for a request that waits.
 func (account *account) wants(limit Entitlement) (rate, burst float64) {
 	held := account.effective()
-	if account.waiting > account.level {
-		return max(0, limit.Rate-held.rate), max(0, limit.Burst-held.burst)
-	}
-	if account.demand.rate <= held.rate || held.rate >= limit.Rate*(1-minLoanPart) {
+	// More than is needed now, so that the next fluctuation needs no message.
+	rate = max(0, min(account.demand.rate*demandAhead, limit.Rate)-held.rate)
+	burst = max(0, limit.Burst-held.burst)
+	switch {
+	case account.waiting > account.level:
+		return rate, burst
+	case account.demand.rate <= held.rate || held.rate >= limit.Rate*(1-minLoanPart):
 		return 0, 0
+	default:
+		return rate, burst
 	}
-	// More than is needed now, so that the next fluctuation needs no message.
-	rate = min(account.demand.rate*demandAhead, limit.Rate) - held.rate
-	return rate, max(0, limit.Burst-held.burst)
 }
 
 // extends says whether a loan of a lender is needed longer.
@@ -369,8 +402,14 @@
 		room = max(kept, own.burst*(own.rate-added.rate)/own.rate)
 	}
 	added.burst = min(max(0, ask.Burst), max(0, own.burst-room))
-	level = min(max(0, account.level-kept), added.burst)
-	return added, level
+	atHand := max(0, account.level-kept)
+	if ask.Need > 0 && account.waiting == 0 {
+		// Small shares hold less than a large request costs, and it would be refused for good if busy hosts lent nothing.
+		// A request that waits comes before those that this host expects.
+		atHand = max(0, account.level)
+		added.burst = max(added.burst, min(atHand, ask.Need, own.burst))
+	}
+	return added, min(atHand, added.burst)
 }
 
 // lacks says whether the host has lent what it needs itself.
@@ -407,6 +446,9 @@
 	}
 	account.level += grant.Level
 	account.clip()
+	if account.effective().rate >= account.demand.rate {
+		account.askWait = 0
+	}
 }
 
 func (account *account) borrowedAs(grant Grant) *loan {
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -111,8 +111,8 @@
 	deadline := exchanger.clock().Add(exchanger.wait)
 	for first := true; ; first = false {
 		now := exchanger.clock()
-		receipt, outcome, credited := exchanger.spend(now, workspace, tokens, first)
-		if outcome != limit.Short || !now.Before(deadline) {
+		receipt, outcome, credited := exchanger.spend(now, deadline, workspace, tokens, first)
+		if outcome != limit.Short || credited == nil {
 			return receipt, outcome
 		}
 		exchanger.short()
@@ -127,13 +127,20 @@
 	}
 }
 
-func (exchanger *Exchanger) spend(now time.Time, workspace string, tokens float64, first bool) (*limit.Receipt, limit.Outcome, chan struct{}) {
+// spend tries to charge tokens. The channel is closed when it is worth trying again; it is nil if it is not before the
+// deadline.
+func (exchanger *Exchanger) spend(
+	now, deadline time.Time, workspace string, tokens float64, first bool,
+) (*limit.Receipt, limit.Outcome, chan struct{}) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	if first {
 		exchanger.bank.Demand(now, workspace, tokens)
 	}
 	receipt, outcome := exchanger.bank.Spend(now, workspace, tokens)
+	if outcome != limit.Short || !now.Before(deadline) || exchanger.bank.Hopeless(now, workspace, tokens, deadline) {
+		return receipt, outcome, nil
+	}
 	return receipt, outcome, exchanger.credited
 }
 
