Hosts tell each other how many hosts share limits

A host that has restarted and cannot read the store did not know of hosts that joined meanwhile, and took a larger part than the peers that can read it counted for it.

--- a/core/limit/membership.go
+++ b/core/limit/membership.go
@@ -29,7 +29,7 @@
 type Membership struct {
 	self  string
 	rows  value.Set[string]
-	heard map[string]time.Time
+	heard map[string]heard
 	acked map[string]time.Time
 	// known is when each host was a member last.
 	known map[string]time.Time
@@ -40,9 +40,16 @@
 	settled bool
 }
 
+// heard is the last message of a host.
+type heard struct {
+	at time.Time
+	// members is the number of hosts that it counted.
+	members int
+}
+
 // NewMembership returns the membership of a host that knows nobody yet, not even itself.
 func NewMembership(self string) *Membership {
-	return &Membership{self: self, rows: value.NewSet[string](), heard: map[string]time.Time{}, acked: map[string]time.Time{}, known: map[string]time.Time{}}
+	return &Membership{self: self, rows: value.NewSet[string](), heard: map[string]heard{}, acked: map[string]time.Time{}, known: map[string]time.Time{}}
 }
 
 // Rows takes in the hosts that have a row in the store, as of a scan that was asked for at an instant.
@@ -55,14 +62,26 @@
 	membership.scannedAt = scannedAt
 }
 
-// Heard takes in a message of another host.
-func (membership *Membership) Heard(now time.Time, host string) { membership.heard[host] = now }
+// Heard takes in a message of another host, which counted a number of members.
+func (membership *Membership) Heard(now time.Time, host string, members int) {
+	membership.heard[host] = heard{at: now, members: members}
+}
 
 // Acked takes in that another host has answered a message that was sent at an instant.
 func (membership *Membership) Acked(sentAt time.Time, host string) { membership.acked[host] = sentAt }
 
 // Members returns the number of hosts that share limits; 0 before anything is known.
-func (membership *Membership) Members(now time.Time) int { return len(membership.members(now)) }
+func (membership *Membership) Members(now time.Time) int {
+	count := len(membership.members(now))
+	if count == 0 || membership.fresh(now) {
+		return count
+	}
+	// Others may know of hosts that joined while this one could not read the store.
+	for _, last := range membership.heard {
+		count = max(count, last.members)
+	}
+	return count
+}
 
 func (membership *Membership) members(now time.Time) value.Set[string] {
 	members := value.NewSet[string]()
@@ -73,8 +92,8 @@
 	for host := range membership.rows {
 		members.Add(host)
 	}
-	for host, at := range membership.heard {
-		if now.Sub(at) < heardFor {
+	for host, last := range membership.heard {
+		if now.Sub(last.at) < heardFor {
 			members.Add(host)
 			continue
 		}
@@ -127,12 +146,12 @@
 	switch {
 	case members == 0:
 		return isolatedPart / MaxHomes
+	case !membership.Isolated(now):
+		return 1 / float64(members)
 	case !membership.settled:
 		// Hosts that cannot be seen from here may be isolated, and use their parts.
 		return isolatedPart / float64(max(members, MaxHomes))
-	case membership.Isolated(now):
-		return isolatedPart / float64(members)
 	default:
-		return 1 / float64(members)
+		return isolatedPart / float64(members)
 	}
 }
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -29,6 +29,8 @@
 	// Number tells the digest from others of its host; Received is that of the last one from the receiver.
 	Number   int64 `json:"number"`
 	Received int64 `json:"received,omitempty"`
+	// Members is the number of hosts that the sender divides limits over.
+	Members int `json:"members"`
 	// Newest holds the newest row version that the host knows of each table.
 	Newest map[string]int64 `json:"newest"`
 	// Usage is what the host's requests take on servers.
@@ -181,7 +183,7 @@
 		peer.told, peer.answer.told = map[string]int64{}, nil
 	}
 	message := digest{
-		Host: control.coordinator.settings.Host.Name, Number: now.UnixNano(), Received: peer.received, Newest: map[string]int64{},
+		Host: control.coordinator.settings.Host.Name, Number: now.UnixNano(), Received: peer.received, Members: control.members, Newest: map[string]int64{},
 		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Held: map[string]heldUpdate{},
 	}
 	for _, table := range control.tables() {
@@ -261,7 +263,7 @@
 func (control *control) learn(now time.Time, peer *peerState, message digest) {
 	control.countUsed(now, message.Used)
 	control.countRunning(now, message.Host, message.Running)
-	control.membership.Heard(now, message.Host)
+	control.membership.Heard(now, message.Host, message.Members)
 	if peer != nil {
 		peer.received = message.Number
 		if sentAt, confirmed := peer.confirm(message.Received); confirmed {
