lentildev soak: daemons as processes under disturbances drawn from a seed

Hosts run as processes on stand-ins, with relays on their way to the store, from their peers and to backend servers. 19 kinds of disturbance, in series and overlapping: signals, cuts, one-way cuts, resets, delays, the store away, slow, losing answers or its history, servers that crash, drain or fail, keys withdrawn, versions, many configurations. Eleven promises are checked from what callers and servers saw; a test shows each check red on a record where its promise is broken. One seed runs with the tests.

--- a/io/bench/bench.go
+++ b/io/bench/bench.go
@@ -37,6 +37,7 @@
 	Load    loadCommand    `command:"load" description:"run a load experiment and report on it"`
 	Demo    demoCommand    `command:"demo" description:"run the main job on embedded stand-ins"`
 	Hosted  hostedCommand  `command:"hosted" description:"run the main job on a stand-in of the operators' platform"`
+	Soak    soakCommand    `command:"soak" description:"disturb daemons that run as processes, and check their promises"`
 }
 
 // errFailed is the cause of a run that did not go as it should.
@@ -51,6 +52,7 @@
 	options.Service.out = output
 	options.Demo.out = output
 	options.Hosted.out = output
+	options.Soak.out = output
 	options.Load.out = output
 	parser := flags.NewParser(options, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "lentildev"
--- /dev/null
+++ b/io/soak/soak_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"errors"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lentilproxy/platform/stub"
+
+	"github.com/matryer/is"
+)
+
+// seeds are played in every run of the tests: one of all kinds, and those that once broke a promise, with the cause.
+var seeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "none: the first one"},
+}
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := filepath.Join(t.TempDir(), "lentild")
+	if output, err := exec.Command("go", "build", "-o", program, "lentilproxy/cmd/lentild").CombinedOutput(); err != nil {
+		t.Fatal(string(output))
+	}
+	for _, test := range seeds {
+		report, err := Run(Options{
+			Seed: test.seed, Length: 24 * time.Second, Hosts: 3, Engines: 2, Plain: 2, Callers: 8, Program: program, Folder: t.TempDir(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d disturbances, %d of %d requests served", test.seed, len(report.Events), report.Answered, report.Requests)
+		for _, violation := range report.Violations {
+			t.Errorf("seed %d: %s", test.seed, violation)
+		}
+	}
+}
+
+func TestPlansAreTheSameForASeed(t *testing.T) {
+	is := is.New(t)
+	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
+	is.Equal(first, again)
+	is.True(len(first) > 10)
+	is.True(len(other) == 0 || first[0] != other[0])
+	for _, event := range first {
+		is.True(event.At >= calm && event.At+event.For <= time.Minute-2*calm)
+	}
+}
+
+// Each check finds what it is for, and nothing in a record where all is well.
+func TestChecksFindBrokenPromises(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	ran := func(id string, seconds float64) arrival {
+		return arrival{server: "s", Arrival: stub.Arrival{ID: id, Ran: true, At: at(seconds), Workspace: stub.Workspace, Body: "content " + id, Tokens: 10}}
+	}
+	good := func() *record {
+		return &record{
+			endedAt: at(20), taken: map[string]time.Time{"old": at(5)}, drained: map[string]time.Time{"d": at(5)},
+			attempts: []*attempt{
+				{id: "a", host: "h1", life: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(1), endedAt: at(1.1), status: http.StatusOK, signed: true, body: "answer of s"},
+				{id: "b", host: "h1", life: 1, path: stub.OrderPath, key: "old", sentAt: at(8), endedAt: at(8.1), status: http.StatusUnauthorized},
+				{id: "c", host: "h2", life: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(18), endedAt: at(18.1), status: http.StatusOK, signed: true, body: "answer of s"},
+			},
+			arrivals: map[string][]arrival{"a": {ran("a", 1)}, "c": {ran("c", 18)}},
+			orders:   [][]stub.Order{{{Holder: "h1", Token: 3, At: at(1)}, {Holder: "h2", Token: 4, At: at(5)}}},
+		}
+	}
+	for promise, spoil := range map[string]func(record *record){
+		"at most once":  func(record *record) { record.arrivals["a"] = append(record.arrivals["a"], ran("a", 2)) },
+		"true refusals": func(record *record) { record.attempts[0].status, record.attempts[0].signed = 503, false },
+		"whole answers": func(record *record) { record.attempts[0].signed = false },
+		"keys and workspaces": func(record *record) {
+			record.arrivals["a"][0].Workspace = "other"
+		},
+		"withdrawn keys": func(record *record) {
+			record.attempts[1].status, record.attempts[1].signed, record.attempts[1].body = 200, true, "answer of s"
+		},
+		"configuration never back": func(record *record) {
+			late := *record.attempts[1]
+			late.id, late.sentAt, late.endedAt, late.status, late.signed, late.body = "e", at(12), at(12.1), 200, true, "answer of s"
+			record.attempts = append(record.attempts, &late)
+			record.troubles = append(record.troubles, &trouble{kind: KindStoreAway, from: at(5), until: at(13)})
+		},
+		"limits":   func(record *record) { record.arrivals["a"][0].Tokens = 1e6 },
+		"draining": func(record *record) { record.arrivals["c"][0].server = "d" },
+		"one giver of orders": func(record *record) {
+			record.orders[0][1].At = at(2)
+		},
+		"planned stops": func(record *record) { record.attempts[0].err = errors.New("cut") },
+		"recovery":      func(record *record) { record.attempts[2].status, record.attempts[2].signed = 502, false },
+		"":              func(*record) {},
+	} {
+		t.Run(promise, func(t *testing.T) {
+			is := is.New(t)
+			record := good()
+			spoil(record)
+			violations := record.check()
+			if promise == "" {
+				is.Equal(len(violations), 0)
+				return
+			}
+			is.True(len(violations) > 0)
+			is.True(strings.HasPrefix(violations[0], promise+":"))
+		})
+	}
+}
