--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -70,6 +70,9 @@
 	if call.ask.Model.Model != "" {
 		fields = append(fields, "adapter", call.ask.Model.String(), "version", call.view.Versions[call.ask.Model])
 	}
+	if !call.sentAt.IsZero() {
+		fields = append(fields, "sent_us", call.sentAt.Sub(call.arrived).Microseconds())
+	}
 	if !call.firstAt.IsZero() {
 		fields = append(fields, "first_ms", call.firstAt.Sub(call.arrived).Milliseconds())
 	}
