soak: callers try withdrawn keys, more adapters, calmer and denser plans

The first plans were so dense that no host was ever without a disturbance for 3 s, and callers used only the newest key: builds with a broken promise (of leaving servers, of withdrawn keys) passed.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -83,12 +83,16 @@
 	arrivals map[string][]arrival
 	troubles []*trouble
 	// orders holds the orders of each server in the order of their arrival.
-	orders  [][]stub.Order
-	taken   map[string]time.Time
-	drained map[string]time.Time
-	endedAt time.Time
+	orders   [][]stub.Order
+	declared map[string]time.Time
+	taken    map[string]time.Time
+	drained  map[string]time.Time
+	endedAt  time.Time
 }
 
+// unconcerned are the disturbances that do not keep a host from knowing what the store says.
+var unconcerned = []Kind{KindPeersCut, KindOneWay, KindReset, KindDelay, KindErrors, KindCrash, KindHistory, KindReload}
+
 // undisturbed says whether nothing disturbed a host from settleTime before a span to its end.
 func (record *record) undisturbed(host string, from, until time.Time, but ...Kind) bool {
 	for _, trouble := range record.troubles {
@@ -124,7 +128,7 @@
 		{"true refusals", record.checkRefusals},
 		{"whole answers", record.checkWhole},
 		{"keys and workspaces", record.checkKeys},
-		{"withdrawn keys", record.checkTaken},
+		{"configuration in force", record.checkInForce},
 		{"configuration never back", record.checkNeverBack},
 		{"limits", record.checkLimit},
 		{"draining", record.checkDrain},
@@ -207,11 +211,19 @@
 	}
 }
 
-func (record *record) checkTaken(report func(format string, args ...any)) {
+// checkInForce finds keys that are accepted long after their withdrawal, or refused long after their declaration.
+func (record *record) checkInForce(report func(format string, args ...any)) {
+	late := func(attempt *attempt, since time.Time) bool {
+		return attempt.sentAt.Sub(since) > configBound && record.undisturbed(attempt.host, since, attempt.sentAt, unconcerned...)
+	}
 	for _, attempt := range record.attempts {
 		takenAt, taken := record.taken[attempt.key]
-		if taken && attempt.served() && attempt.sentAt.Sub(takenAt) > configBound && record.undisturbed(attempt.host, takenAt, attempt.sentAt) {
+		declaredAt, declared := record.declared[attempt.key]
+		switch {
+		case taken && attempt.served() && late(attempt, takenAt):
 			report("key withdrawn at %s: %s", takenAt.Format(clockFormat), attempt)
+		case declared && attempt.status == http.StatusUnauthorized && (!taken || attempt.endedAt.Before(takenAt)) && late(attempt, declaredAt):
+			report("key declared at %s: %s", declaredAt.Format(clockFormat), attempt)
 		}
 	}
 }
@@ -275,7 +287,7 @@
 	for _, attempt := range record.attempts {
 		for _, arrival := range record.arrivals[attempt.id] {
 			drainedAt, drained := record.drained[arrival.server]
-			if drained && attempt.sentAt.Sub(drainedAt) > drainBound && record.undisturbed(attempt.host, drainedAt, arrival.At) {
+			if drained && attempt.sentAt.Sub(drainedAt) > drainBound && record.undisturbed(attempt.host, drainedAt, arrival.At, unconcerned...) {
 				report("%s drains since %s: %s", arrival.server, drainedAt.Format(clockFormat), attempt)
 			}
 		}
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -51,8 +51,10 @@
 	// calm is the time without disturbances at the beginning, in which the hosts learn of each other, and at the end, in
 	// which everything has to come back.
 	calm = 5 * time.Second
-	// pace is the mean time between two disturbances; some come in series.
-	pace = 800 * time.Millisecond
+	// minPace and maxPace bound the mean time between two disturbances, which the seed decides: bounds in time can only be
+	// checked where some time passes without any.
+	minPace = 500 * time.Millisecond
+	maxPace = 5 * time.Second
 	// maxFor bounds one disturbance.
 	maxFor = 4 * time.Second
 )
@@ -60,6 +62,7 @@
 // Plan returns the disturbances of a run of some length, by its seed. They overlap, and come in series.
 func Plan(seed uint64, length time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, seed))
+	pace := minPace + time.Duration(random.Int64N(int64(maxPace-minPace)))
 	var events []Event
 	for at := calm; at < length-2*calm; at += time.Duration(random.ExpFloat64() * float64(pace)) {
 		event := Event{
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -11,6 +11,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -29,7 +30,7 @@
 	// everybody stands for all hosts in the record of disturbances.
 	everybody = ""
 	// adapters is the number of adapters that callers ask for.
-	adapters = 9
+	adapters = 20
 	// thinkTime is the longest pause of a caller between two requests.
 	thinkTime = 120 * time.Millisecond
 	// callerTime bounds one request; routes end before.
@@ -192,11 +193,14 @@
 // request draws a request.
 func (soak *Soak) request(random *rand.Rand) attempt {
 	soak.world.mutex.Lock()
-	extra := soak.world.extra
+	extra, old := soak.world.extra, soak.world.old
 	soak.world.mutex.Unlock()
 	next := attempt{id: stub.NewID(), key: stub.Key}
-	if random.IntN(4) == 0 {
+	switch random.IntN(8) {
+	case 0, 1:
 		next.key = extra
+	case 2:
+		next.key = cmp.Or(old, stub.Key)
 	}
 	switch random.IntN(5) {
 	case 0, 1:
@@ -257,7 +261,7 @@
 			soak.violate("places", server.ID()+" was ordered to load more adapters than it has places for")
 		}
 	}
-	soak.record.taken, soak.record.drained = soak.world.taken, soak.world.drained
+	soak.record.declared, soak.record.taken, soak.record.drained = soak.world.declared, soak.world.taken, soak.world.drained
 }
 
 // keepLogs writes the last lines of every host and what was disturbed into the folder.
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -48,8 +48,7 @@
 	is := is.New(t)
 	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
 	is.Equal(first, again)
-	is.True(len(first) > 10)
-	is.True(len(other) == 0 || first[0] != other[0])
+	is.True(len(first) > 0 && len(other) > 0 && first[0] != other[0])
 	for _, event := range first {
 		is.True(event.At >= calm && event.At+event.For <= time.Minute-2*calm)
 	}
@@ -81,7 +80,7 @@
 		"keys and workspaces": func(record *record) {
 			record.arrivals["a"][0].Workspace = "other"
 		},
-		"withdrawn keys": func(record *record) {
+		"configuration in force": func(record *record) {
 			record.attempts[1].status, record.attempts[1].signed, record.attempts[1].body = 200, true, "answer of s"
 		},
 		"configuration never back": func(record *record) {
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -20,11 +20,13 @@
 	// storeDelay and serverDelay are what slow parts take in addition.
 	storeDelay  = 300 * time.Millisecond
 	serverDelay = 30 * time.Millisecond
+	// resetInterval is the time between two resets of all connections to a server.
+	resetInterval = 150 * time.Millisecond
 	// manyConfigs is the number of configurations that follow each other closely, configGap the time between them.
 	manyConfigs = 8
 	configGap   = 60 * time.Millisecond
 	// rate is the limit of the workspace in tokens a second; the callers ask for about as much.
-	rate = 8000
+	rate = 5000
 	// places is the number of adapters that an engine holds.
 	places = 4
 )
@@ -54,11 +56,15 @@
 	// gone are servers that were replaced; what arrived there counts.
 	gone     []*stub.Server
 	versions map[string]int64
-	// taken holds when a key's withdrawal was acknowledged, drained when a server's draining was.
-	taken   map[string]time.Time
-	drained map[string]time.Time
-	extra   string
-	keys    int
+	// old is the key that was withdrawn last.
+	old string
+	// declared holds when a key's declaration was acknowledged, taken when its withdrawal was, drained when a server's
+	// draining was.
+	declared map[string]time.Time
+	taken    map[string]time.Time
+	drained  map[string]time.Time
+	extra    string
+	keys     int
 }
 
 func newWorld(engines, plain int) (*world, error) {
@@ -68,7 +74,7 @@
 	}
 	world := &world{
 		store: stub.NewStore(), listener: listener, stop: make(chan struct{}), done: make(chan struct{}), config: stub.NewConfig(),
-		versions: map[string]int64{}, taken: map[string]time.Time{}, drained: map[string]time.Time{},
+		versions: map[string]int64{}, declared: map[string]time.Time{}, taken: map[string]time.Time{}, drained: map[string]time.Time{},
 	}
 	world.server = &http.Server{Handler: world.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = world.server.Serve(listener) }()
@@ -200,8 +206,9 @@
 	world.config.Version++
 	world.config.Keys = []string{stub.Key, world.extra}
 	world.config.Apply(world.store)
+	world.declared[world.extra] = time.Now()
 	if before != "" {
-		world.taken[before] = time.Now()
+		world.old, world.taken[before] = before, world.declared[world.extra]
 	}
 }
 
@@ -334,7 +341,11 @@
 	var err error
 	switch event.Kind {
 	case KindReset:
-		soak.during(event, everybody, known.relay.Reset, func() {})
+		finish := soak.note(KindReset, everybody)
+		for until := time.Now().Add(event.For); time.Now().Before(until); time.Sleep(resetInterval) {
+			known.relay.Reset()
+		}
+		finish()
 	case KindDelay:
 		soak.during(event, everybody, func() { known.relay.Disturb(false, false, serverDelay) }, func() { known.relay.Disturb(false, false, 0) })
 	case KindErrors:
