soak: a host's four addresses are different ones

Seen with a build that ends at once on SIGTERM: 'ready is the same address as callers', since each free address was given back before the next was chosen.

--- a/io/soak/host.go
+++ b/io/soak/host.go
@@ -44,16 +44,11 @@
 // newHost writes the settings of a daemon that listens on an address of its own: while it is down, nobody else is given
 // its ports.
 func newHost(folder, program, name, ip, store string) (*host, error) {
-	addresses := make([]string, 4)
-	for index := range addresses {
-		address, err := freeAddress(ip)
-		if err != nil {
-			return nil, err
-		}
-		addresses[index] = address
+	addresses, err := freeAddresses(ip, 4)
+	if err != nil {
+		return nil, err
 	}
 	host := &host{name: name, program: program, settings: filepath.Join(folder, name+".ini"), callers: addresses[0], ready: addresses[1]}
-	var err error
 	if host.store, err = NewRelay(store); err != nil {
 		return nil, err
 	}
@@ -66,14 +61,19 @@
 	return host, os.WriteFile(host.settings, []byte(content), 0o600)
 }
 
-// freeAddress returns an address that nobody listens on, as IP:port.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freeAddresses returns different addresses that nobody listens on, as IP:port.
+func freeAddresses(ip string, count int) ([]string, error) {
+	addresses := make([]string, count)
+	for index := range addresses {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		// Closed only once all are chosen, so that none is chosen twice.
+		defer func() { _ = listener.Close() }()
+		addresses[index] = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // start runs the daemon.
