A server that fails again when it is tried is avoided for longer

The time now doubles to 4 s, and two answers decide on a server that is tried again; answers to requests from before do not count. A log line tells the decision.

--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -18,8 +18,13 @@
 	ejectFor = 250 * time.Millisecond
 	// maxEjectFor bounds the time: an entry of a server that is gone stays for three heartbeats.
 	maxEjectFor = 4 * time.Second
-	// greyEjectFor is how long a server with too many errors is avoided before a request tries it again.
-	greyEjectFor = 1500 * time.Millisecond
+	// greyEjectFor is how long a server with too many errors is avoided before a request tries it again; the time doubles
+	// with each try that fails, up to maxGreyEjectFor: each of many hosts has to find out by itself, and a server that is
+	// well again must not be missed for long.
+	greyEjectFor    = 1500 * time.Millisecond
+	maxGreyEjectFor = 4 * time.Second
+	// trialSamples is the number of answers that decide on a server that is tried again: two that are not too old.
+	trialSamples = 1.5
 )
 
 // health is what a host has seen of one server's answers.
@@ -32,6 +37,8 @@
 	errors    float64
 	decayedAt time.Time
 	greyUntil time.Time
+	// greys counts the times that the server was avoided for its errors, until it has answered well again.
+	greys int
 }
 
 func (health *health) decay(now time.Time) {
@@ -46,6 +53,10 @@
 }
 
 func (health *health) answered(now time.Time, failed bool) {
+	if now.Before(health.greyUntil) {
+		// It was asked before it was avoided, and says nothing new.
+		return
+	}
 	health.decay(now)
 	health.answers++
 	if failed {
@@ -59,10 +70,21 @@
 		return true
 	}
 	health.decay(now)
-	if health.answers < minSamples || health.errors/health.answers < fleet+excessErrors {
+	samples := float64(minSamples)
+	if health.greys > 0 {
+		samples = trialSamples
+	}
+	if health.answers < samples {
+		return false
+	}
+	if health.errors/health.answers < fleet+excessErrors {
+		if health.answers >= minSamples {
+			health.greys = 0
+		}
 		return false
 	}
-	health.greyUntil = now.Add(greyEjectFor)
+	health.greyUntil = now.Add(min(greyEjectFor<<min(health.greys, 8), maxGreyEjectFor))
+	health.greys++
 	// The next answers decide anew.
 	health.answers, health.errors = 0, 0
 	return true
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -36,6 +36,8 @@
 	homeSlack = 80 * time.Millisecond
 	// remotePenalty is the number of running requests that a server in another data centre counts as.
 	remotePenalty = 2
+	// maxAvoided bounds the decisions that wait to be taken.
+	maxAvoided = 256
 	// maxCopyEntries bounds the adapters whose last copy is remembered.
 	maxCopyEntries = 4096
 )
@@ -86,6 +88,25 @@
 	copied     map[spec.AdapterRef]time.Time
 	// told is what each peer said last.
 	told map[string]map[string]Usage
+	// avoided collects servers that are avoided for their errors from now on.
+	avoided []Avoided
+}
+
+// Avoided is the decision to avoid a server for its errors.
+type Avoided struct {
+	Server string
+	For    time.Duration
+	// Times counts such decisions in a row.
+	Times int
+	// Usual is the usual share of errors of the service.
+	Usual float64
+}
+
+// TakeAvoided returns the decisions since the last call.
+func (table *Table) TakeAvoided() []Avoided {
+	taken := table.avoided
+	table.avoided = nil
+	return taken
 }
 
 // New returns the table of a host in a data centre.
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -224,3 +224,54 @@
 	is.Equal(running(), 2)
 	is.Equal(len(table.told), 1)
 }
+
+// One of four servers fails all that it is sent, and says that it is well: a host finds out with a few requests, and tries
+// it again ever less often.
+func TestFailingServerIsTriedEverLessOften(t *testing.T) {
+	is := is.New(t)
+	table := New("dc-0")
+	all := servers("orders", 4)
+	table.Update(all)
+	failed, asked := 0, 0
+	var open []*Run
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += 50 * time.Millisecond {
+		now := start.Add(elapsed)
+		if len(open) == 6 { // As many run at a time, so that all servers are used.
+			table.End(open[0])
+			open = open[1:]
+		}
+		choice, found := table.Choose(now, orders, all, Job{Avoid: value.NewSet[string](), Full: value.NewSet[string]()})
+		is.True(found)
+		open = append(open, table.Start(now, choice.Server, Job{}))
+		bad := choice.Server.ID == "orders-1"
+		table.Answered(now.Add(20*time.Millisecond), choice.Server.ID, bad)
+		asked++
+		if bad {
+			failed++
+		}
+	}
+	avoided := table.TakeAvoided()
+	t.Logf("%d of %d requests failed; avoided %d times", failed, asked, len(avoided))
+	is.True(failed <= minSamples+3*2) // Two more after 1.5 s, 4.5 s and 8.5 s each.
+	is.True(len(avoided) >= 2 && avoided[0].Server == "orders-1" && avoided[1].For > avoided[0].For)
+	is.Equal(len(table.TakeAvoided()), 0)
+}
+
+// A server that has answered well again is judged as any other one.
+func TestServerThatIsWellAgainIsTrusted(t *testing.T) {
+	is := is.New(t)
+	known := &health{}
+	for range minSamples {
+		known.answered(start, true)
+	}
+	is.True(known.ejected(start, 0))
+	later := start.Add(greyEjectFor)
+	is.True(!known.ejected(later, 0))
+	for range 2 * minSamples {
+		known.answered(later, false)
+	}
+	is.True(!known.ejected(later, 0))
+	known.answered(later, true)
+	is.True(!known.ejected(later, 0))
+	is.Equal(known.greys, 0)
+}
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -140,6 +140,10 @@
 			}
 			control.shareLimits(now)
 			coordinator.traffic.exchange(now)
+			for _, avoided := range coordinator.traffic.takeAvoided() {
+				coordinator.log.Info("server avoided for its errors", "server", avoided.Server, "for_ms", avoided.For.Milliseconds(),
+					"times", avoided.Times, "usual_errors", avoided.Usual)
+			}
 		})
 	}
 }
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -145,6 +145,12 @@
 	return traffic.table.Own()
 }
 
+func (traffic *Traffic) takeAvoided() []sched.Avoided {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.table.TakeAvoided()
+}
+
 // takeUsed returns the requests for adapters since the last call.
 func (traffic *Traffic) takeUsed() map[string]map[string]float64 {
 	traffic.mutex.Lock()
