--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -23,9 +23,6 @@
 }
 
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	program := filepath.Join(t.TempDir(), "lentild")
 	if output, err := exec.Command("go", "build", "-o", program, "lentilproxy/cmd/lentild").CombinedOutput(); err != nil {
 		t.Fatal(string(output))
