Nothing is worked out twice in an exchange of digests

A host's part of limits, its isolation and the number of members were worked out from the set of members, which was built up to five times for each digest; Membership.Divide builds it once. An answer carried the newest row versions twice, in its proofs and in its digest, where nobody read them. compareNewest took its own time instead of the caller's. Noting that a server is avoided stands beside the decision, not in the middle of the choice.

--- a/core/limit/membership.go
+++ b/core/limit/membership.go
@@ -70,9 +70,42 @@
 // Acked takes in that another host has answered a message that was sent at an instant.
 func (membership *Membership) Acked(sentAt time.Time, host string) { membership.acked[host] = sentAt }
 
+// Division says how limits are divided.
+type Division struct {
+	// Members is the number of hosts that share limits; 0 before anything is known.
+	Members int
+	// Isolated says whether others may still, or again, divide this host's share among themselves.
+	Isolated bool
+	// Fraction is the part of every limit that the host holds. Before anything is known it is a small one.
+	Fraction float64
+}
+
+// Divide returns how limits are divided at an instant.
+func (membership *Membership) Divide(now time.Time) Division {
+	members := membership.members(now)
+	count := membership.count(now, members)
+	division := Division{Members: count, Isolated: membership.isolated(now, members)}
+	switch {
+	case count == 0:
+		division.Fraction = isolatedPart / MaxHomes
+	case !division.Isolated:
+		division.Fraction = 1 / float64(count)
+	case !membership.settled:
+		// Hosts that cannot be seen from here may be isolated, and use their parts.
+		division.Fraction = isolatedPart / float64(max(count, MaxHomes))
+	default:
+		division.Fraction = isolatedPart / float64(count)
+	}
+	return division
+}
+
 // Members returns the number of hosts that share limits; 0 before anything is known.
 func (membership *Membership) Members(now time.Time) int {
-	count := len(membership.members(now))
+	return membership.count(now, membership.members(now))
+}
+
+func (membership *Membership) count(now time.Time, members value.Set[string]) int {
+	count := len(members)
 	if count == 0 || membership.fresh(now) {
 		return count
 	}
@@ -124,10 +157,13 @@
 
 // Isolated says whether others may still, or again, divide this host's share among themselves.
 func (membership *Membership) Isolated(now time.Time) bool {
+	return membership.isolated(now, membership.members(now))
+}
+
+func (membership *Membership) isolated(now time.Time, members value.Set[string]) bool {
 	if membership.fresh(now) {
 		return false
 	}
-	members := membership.members(now)
 	if len(members) < 2 {
 		// Nobody is left who could know of others.
 		return true
@@ -140,18 +176,5 @@
 	return false
 }
 
-// Fraction returns the part of every limit that the host holds. Before anything is known it is a small one.
-func (membership *Membership) Fraction(now time.Time) float64 {
-	members := membership.Members(now)
-	switch {
-	case members == 0:
-		return isolatedPart / MaxHomes
-	case !membership.Isolated(now):
-		return 1 / float64(members)
-	case !membership.settled:
-		// Hosts that cannot be seen from here may be isolated, and use their parts.
-		return isolatedPart / float64(max(members, MaxHomes))
-	default:
-		return isolatedPart / float64(members)
-	}
-}
+// Fraction returns the part of every limit that the host holds.
+func (membership *Membership) Fraction(now time.Time) float64 { return membership.Divide(now).Fraction }
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -105,14 +105,10 @@
 		if job.Ref.Model != "" && known.held.Model != job.Ref.Model {
 			continue
 		}
-		greys := known.health.greys
 		option := candidate{
-			entry: entry, known: known, ejected: known.health.ejected(now, fleet),
+			entry: entry, known: known, ejected: table.ejected(now, name, known, fleet),
 			rank: xxhash.Sum64String(job.Ref.Adapter + "\x00" + name),
 		}
-		if known.health.greys > greys && len(table.avoided) < maxAvoided {
-			table.avoided = append(table.avoided, Avoided{Server: name, For: known.health.greyUntil.Sub(now), Times: known.health.greys, Usual: fleet})
-		}
 		if version, found := known.held.Adapters[job.Ref.Adapter]; found {
 			option.holds = job.Version == 0 || version >= job.Version
 		}
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -90,6 +90,16 @@
 	return true
 }
 
+// ejected says whether a server is avoided, and notes a decision to avoid it for its errors.
+func (table *Table) ejected(now time.Time, name string, known *server, fleet float64) bool {
+	before := known.health.greys
+	ejected := known.health.ejected(now, fleet)
+	if known.health.greys > before && len(table.avoided) < maxAvoided {
+		table.avoided = append(table.avoided, Avoided{Server: name, For: known.health.greyUntil.Sub(now), Times: known.health.greys, Usual: fleet})
+	}
+	return ejected
+}
+
 // errorRate returns the usual share of errors of a service's servers.
 func (table *Table) errorRate(now time.Time, service string, servers map[string]spec.Server) float64 {
 	var sum, count float64
--- a/io/coord/digest.go
+++ b/io/coord/digest.go
@@ -31,8 +31,8 @@
 	Received int64 `json:"received,omitempty"`
 	// Members is the number of hosts that the sender divides limits over.
 	Members int `json:"members"`
-	// Newest holds the newest row version that the host knows of each table.
-	Newest map[string]int64 `json:"newest"`
+	// Newest holds the newest row version that the host knows of each table. An answer has proofs instead.
+	Newest map[string]int64 `json:"newest,omitempty"`
 	// Usage is what the host's requests take on servers.
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
 	// Used counts requests for adapters on servers that the receiver holds.
@@ -187,12 +187,9 @@
 		peer.told, peer.answer.told = map[string]int64{}, nil
 	}
 	message := digest{
-		Host: control.coordinator.settings.Host.Name, Number: now.UnixNano(), Received: peer.received, Members: control.members, Newest: map[string]int64{},
+		Host: control.coordinator.settings.Host.Name, Number: now.UnixNano(), Received: peer.received, Members: control.members,
 		Usage: control.coordinator.traffic.usage(), Used: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Held: map[string]heldUpdate{},
 	}
-	for _, table := range control.tables() {
-		message.Newest[table.table] = table.Newest()
-	}
 	for server, used := range control.untold {
 		if control.heldBy(server, peer) {
 			message.Used[server] = used
@@ -227,6 +224,10 @@
 	peer.busy = true
 	control.turns.Called(now, peer.name)
 	message, told := control.compose(now, peer)
+	message.Newest = map[string]int64{}
+	for _, table := range control.tables() {
+		message.Newest[table.table] = table.Newest()
+	}
 	go control.exchange(peer, message, told)
 }
 
@@ -294,7 +295,7 @@
 		return result
 	}
 	control.turns.Met(now, peer.name)
-	control.compareNewest(peer, message.Newest)
+	control.compareNewest(now, peer, message.Newest)
 	var told map[string]int64
 	result.Digest, told = control.compose(now, peer)
 	peer.answer = sentAnswer{number: result.Digest.Number, sentAt: now, told: told}
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -149,13 +149,13 @@
 		names = append(names, host.Name)
 	}
 	control.membership.Rows(control.registry.ScannedAt(), names)
-	members, fraction, isolated := control.membership.Members(now), control.membership.Fraction(now), control.membership.Isolated(now)
-	if isolated != control.isolated || members != control.members {
-		control.coordinator.log.Info("limits divided", "members", members, "before", control.members, "isolated", isolated,
+	division := control.membership.Divide(now)
+	if division.Isolated != control.isolated || division.Members != control.members {
+		control.coordinator.log.Info("limits divided", "members", division.Members, "before", control.members, "isolated", division.Isolated,
 			"scan_age_ms", now.Sub(control.registry.ScannedAt()).Milliseconds())
 	}
-	control.members, control.isolated = members, isolated
-	control.coordinator.traffic.share(now, members, fraction)
+	control.members, control.isolated = division.Members, division.Isolated
+	control.coordinator.traffic.share(now, division.Members, division.Fraction)
 }
 
 // engines returns the servers that take orders.
--- a/io/coord/pull_test.go
+++ b/io/coord/pull_test.go
@@ -72,10 +72,10 @@
 	control := coordinator.traffic.control
 	asked := 0
 	for range 20 {
-		coordinator.do(func(time.Time) {
+		coordinator.do(func(now time.Time) {
 			before := control.operators.pulledAt
 			peer := &peerState{name: "peer", address: silent.Addr().String(), told: map[string]int64{}}
-			control.compareNewest(peer, map[string]int64{"operators": 9})
+			control.compareNewest(now, peer, map[string]int64{"operators": 9})
 			if control.operators.pulledAt != before {
 				asked++
 			}
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -53,13 +53,13 @@
 }
 
 // compareNewest asks a peer for rows that it has announced.
-func (control *control) compareNewest(peer *peerState, newest map[string]int64) {
+func (control *control) compareNewest(now time.Time, peer *peerState, newest map[string]int64) {
 	proofs := map[string]proof{}
 	for table, version := range newest {
 		// What a message says of its age cannot be told, as it may have been under way for long.
 		proofs[table] = proof{Newest: version, AgeMS: -1}
 	}
-	control.compare(clock.Now(), time.Time{}, peer, proofs)
+	control.compare(now, time.Time{}, peer, proofs)
 }
 
 // pull asks a peer for rows.
