One copy for both daemons: listeners, their servers, local address, parameters of calls

The daemon on the operators' platform had copies of what the other one had: opening all listeners or none with the advertised address, serving HTTP on them, binding calls to the listener's address, decoding parameters. Its stop and its kill share their end, which now ends the metrics after a kill as well. Load and Copy ask for an adapter in one place.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -132,11 +132,7 @@
 	coordinator.ctx, coordinator.cancel = context.WithCancel(context.Background())
 	coordinator.loop = loop.New(coordinator.ctx, taskQueue)
 	coordinator.view.Store(spec.EmptyView())
-	var poolOptions []peer.PoolOption
-	if address, isTCP := listener.Addr().(*net.TCPAddr); isTCP && !address.IP.IsUnspecified() {
-		poolOptions = append(poolOptions, peer.WithLocalIP(address.IP))
-	}
-	coordinator.peers = peer.NewPool(coordinator.meter, poolOptions...)
+	coordinator.peers = peer.NewPool(coordinator.meter, peer.WithLocalIP(listener))
 	coordinator.traffic = newTraffic(coordinator)
 	operators, servers := platform.Source.Tables()
 	control := &control{
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -56,9 +56,7 @@
 
 // Load has an adapter loaded on a server and waits until it can be used there.
 func (coordinator *Coordinator) Load(ctx context.Context, server spec.Server, adapter string) LoadOutcome {
-	pending := coordinator.traffic.join(loadKey{life: server.Life(), adapter: adapter}, func(pending *pendingLoad) {
-		go coordinator.pursue(server, adapter, pending)
-	})
+	pending := coordinator.request(server, adapter)
 	select {
 	case <-pending.done:
 		return pending.outcome
@@ -69,7 +67,12 @@
 
 // Copy has a further copy of an adapter loaded, without waiting for it.
 func (coordinator *Coordinator) Copy(server spec.Server, adapter string) {
-	coordinator.traffic.join(loadKey{life: server.Life(), adapter: adapter}, func(pending *pendingLoad) {
+	coordinator.request(server, adapter)
+}
+
+// request returns the load request for an adapter on a server, which all that ask for the same share.
+func (coordinator *Coordinator) request(server spec.Server, adapter string) *pendingLoad {
+	return coordinator.traffic.join(loadKey{life: server.Life(), adapter: adapter}, func(pending *pendingLoad) {
 		go coordinator.pursue(server, adapter, pending)
 	})
 }
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -6,6 +6,7 @@
 
 	"lentilproxy/core/guard"
 	"lentilproxy/io/loans"
+	"lentilproxy/io/peer"
 
 	"github.com/samber/oops"
 )
@@ -43,9 +44,9 @@
 }
 
 func answer[P, R any](params json.RawMessage, serve func(P) R) (any, error) {
-	var decoded P
-	if err := json.Unmarshal(params, &decoded); err != nil {
-		return nil, oops.Code("bad_params").Wrap(err)
+	decoded, err := peer.Decode[P](params)
+	if err != nil {
+		return nil, err
 	}
 	return serve(decoded), nil
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -36,8 +34,7 @@
 	gate      *gate.Gate
 	ledger    *ledger.Ledger
 	reports   *report.Keeper
-	servers   []*http.Server
-	listeners []net.Listener
+	listeners *listeners
 	metrics   func() error
 	stopOnce  sync.Once
 	done      chan struct{}
@@ -55,13 +52,15 @@
 	for _, option := range options {
 		option(daemon)
 	}
-	if err := daemon.listen(); err != nil {
+	opened, err := listen(daemon.log, &settings.Listen, settings.Listen.Callers, settings.Listen.Operators, settings.Listen.Peers)
+	if err != nil {
 		return nil, err
 	}
+	daemon.listeners = opened
 	scope, metrics, end := newMetrics()
 	daemon.metrics = end
 	platform := table.New(settings.Platform.Table)
-	daemon.node = node.New(settings, platform, platform, daemon.listeners[2], node.WithLog(daemon.log), node.WithMetrics(scope))
+	daemon.node = node.New(settings, platform, platform, opened.open[peersListener], node.WithLog(daemon.log), node.WithMetrics(scope))
 	daemon.ledger = ledger.New(platform, settings.Host.Name)
 	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives)
 	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
@@ -69,46 +68,17 @@
 	if err != nil {
 		return nil, oops.Code("internal").Wrap(err)
 	}
-	daemon.serve(daemon.gate.Server(), daemon.listeners[0])
-	daemon.serve(&http.Server{Handler: operators, ReadHeaderTimeout: closeTimeout}, daemon.listeners[1])
+	opened.serve(daemon.gate.Server(), 0)
+	opened.serve(&http.Server{Handler: operators, ReadHeaderTimeout: closeTimeout}, 1)
 	daemon.log.Info("started", "host", settings.Host.Name, "callers", daemon.Callers(), "operators", daemon.Operators(), "peers", settings.Listen.AdvertisePeers)
 	return daemon, nil
 }
 
-// listen opens all listeners or none.
-func (daemon *Daemon) listen() error {
-	listen := daemon.settings.Listen
-	for _, address := range []string{listen.Callers, listen.Operators, listen.Peers} {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			for _, open := range daemon.listeners {
-				_ = open.Close()
-			}
-			return oops.Code("listen_failed").With("address", address).Wrap(err)
-		}
-		daemon.listeners = append(daemon.listeners, listener)
-	}
-	if listen.AdvertisePeers == listen.Peers {
-		// Port 0 lets the system choose.
-		daemon.settings.Listen.AdvertisePeers = daemon.listeners[2].Addr().String()
-	}
-	return nil
-}
-
-func (daemon *Daemon) serve(server *http.Server, listener net.Listener) {
-	daemon.servers = append(daemon.servers, server)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			daemon.log.Error(err, "a listener ended", "address", listener.Addr().String())
-		}
-	}()
-}
-
 // Callers returns the address for callers, as IP:port.
-func (daemon *Daemon) Callers() string { return daemon.listeners[0].Addr().String() }
+func (daemon *Daemon) Callers() string { return daemon.listeners.address(0) }
 
 // Operators returns the address for operators, as IP:port.
-func (daemon *Daemon) Operators() string { return daemon.listeners[1].Addr().String() }
+func (daemon *Daemon) Operators() string { return daemon.listeners.address(1) }
 
 // Node returns the daemon's part in the coordination.
 func (daemon *Daemon) Node() *node.Node { return daemon.node }
@@ -131,7 +101,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), daemon.settings.Traffic.StopTimeout)
 		defer cancel()
 		time.Sleep(notReadyTime)
-		if err := daemon.servers[0].Shutdown(ctx); err != nil {
+		if err := daemon.listeners.servers[0].Shutdown(ctx); err != nil {
 			daemon.log.Error(err, "requests were still open at the stop timeout", "open", daemon.gate.Open())
 		}
 		closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -139,9 +109,7 @@
 		daemon.node.Stop(closing)
 		daemon.ledger.Close()
 		daemon.reports.Close(closing)
-		for _, server := range daemon.servers {
-			_ = server.Close()
-		}
+		daemon.listeners.close()
 		_ = daemon.metrics()
 		daemon.log.Info("stopped")
 	})
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,7 +15,6 @@
 	"lentilproxy/platform"
 
 	"github.com/go-logr/logr"
-	"github.com/samber/oops"
 )
 
 const (
@@ -38,8 +35,7 @@
 	coordinator *coord.Coordinator
 	front       *front.Server
 	links       *link.Pool
-	servers     []*http.Server
-	addresses   []net.Listener
+	listeners   *listeners
 	stopping    atomic.Bool
 	metrics     func() error
 	stopOnce    sync.Once
@@ -49,15 +45,12 @@
 // NewHosted opens the listeners and starts a daemon on the operators' platform.
 func NewHosted(settings *setup.Settings, log logr.Logger) (*Hosted, error) {
 	hosted := &Hosted{settings: settings, log: log, done: make(chan struct{})}
-	listeners, err := openAll(settings.Listen.Callers, settings.Listen.Ready, settings.Listen.Peers, settings.Listen.Metrics)
+	bound := &settings.Listen
+	opened, err := listen(log, bound, bound.Callers, bound.Ready, bound.Peers, bound.Metrics)
 	if err != nil {
 		return nil, err
 	}
-	hosted.addresses = listeners
-	if settings.Listen.AdvertisePeers == settings.Listen.Peers {
-		// Port 0 lets the system choose.
-		settings.Listen.AdvertisePeers = listeners[2].Addr().String()
-	}
+	hosted.listeners = opened
 	scope, metrics, end := newMetrics()
 	hosted.metrics = end
 	dialer := link.Dialer()
@@ -65,49 +58,23 @@
 		Rows:   platform.NewStore(settings.Platform.Store, coord.Client(dialer, storeConnections), scope),
 		Source: platform.Source{},
 		Orders: platform.NewOrders(coord.Client(dialer, 1), scope),
-	}, listeners[2], coord.WithLog(log), coord.WithMetrics(scope))
-	opened := scope.Counter("server_connections")
-	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOpened(func() { opened.Inc(1) }))
+	}, opened.open[peersListener], coord.WithLog(log), coord.WithMetrics(scope))
+	connections := scope.Counter("server_connections")
+	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOpened(func() { connections.Inc(1) }))
 	dialect := platform.Dialect{}
 	service := serve.New(hosted.coordinator, dialect, hosted.links, serve.WithLog(log), serve.WithMetrics(scope))
-	hosted.front = front.New(listeners[0], service.Limits, service.Handle)
+	hosted.front = front.New(opened.open[0], service.Limits, service.Handle)
 	ready := http.NewServeMux()
 	ready.HandleFunc(dialect.ReadyPath(), hosted.answerReady)
-	hosted.serve(ready, listeners[1])
+	opened.serve(&http.Server{Handler: ready, ReadHeaderTimeout: closeTimeout}, 1)
 	scrape := http.NewServeMux()
 	scrape.Handle("/metrics", metrics)
-	hosted.serve(scrape, listeners[3])
+	opened.serve(&http.Server{Handler: scrape, ReadHeaderTimeout: closeTimeout}, 3)
 	log.Info("started", "host", settings.Host.Name, "data_centre", settings.Host.DataCentre, "callers", settings.Listen.Callers,
 		"peers", settings.Listen.Peers, "store", settings.Platform.Store)
 	return hosted, nil
 }
 
-// openAll opens all listeners or none.
-func openAll(addresses ...string) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return nil, oops.Code("listen_failed").With("address", address).Wrap(err)
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
-
-func (hosted *Hosted) serve(handler http.Handler, listener net.Listener) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: closeTimeout}
-	hosted.servers = append(hosted.servers, server)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			hosted.log.Error(err, "a listener ended", "address", listener.Addr().String())
-		}
-	}()
-}
-
 func (hosted *Hosted) answerReady(writer http.ResponseWriter, _ *http.Request) {
 	if hosted.stopping.Load() || !hosted.coordinator.Ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -117,27 +84,31 @@
 }
 
 // Callers returns the address for callers, as IP:port.
-func (hosted *Hosted) Callers() string { return hosted.addresses[0].Addr().String() }
+func (hosted *Hosted) Callers() string { return hosted.listeners.address(0) }
 
 // Balancer returns the address for the balancer's questions, as IP:port.
-func (hosted *Hosted) Balancer() string { return hosted.addresses[1].Addr().String() }
+func (hosted *Hosted) Balancer() string { return hosted.listeners.address(1) }
 
 // Scrape returns the address of the metrics, as IP:port.
-func (hosted *Hosted) Scrape() string { return hosted.addresses[3].Addr().String() }
+func (hosted *Hosted) Scrape() string { return hosted.listeners.address(3) }
 
 // Kill ends the daemon at once, as a loss of power would.
 func (hosted *Hosted) Kill() {
 	hosted.stopOnce.Do(func() {
 		defer close(hosted.done)
 		hosted.coordinator.Kill()
-		hosted.front.Close()
-		hosted.links.Close()
-		for _, server := range hosted.servers {
-			_ = server.Close()
-		}
+		hosted.close()
 	})
 }
 
+// close ends all connections, and the metrics.
+func (hosted *Hosted) close() {
+	hosted.front.Close()
+	hosted.links.Close()
+	hosted.listeners.close()
+	_ = hosted.metrics()
+}
+
 // Reload takes changed settings in. Only bounds may change while the daemon runs.
 func (hosted *Hosted) Reload(settings *setup.Settings) {
 	hosted.coordinator.Reload(settings.Bounds)
@@ -166,12 +137,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 		defer cancel()
 		hosted.coordinator.Stop(ctx)
-		hosted.front.Close()
-		hosted.links.Close()
-		for _, server := range hosted.servers {
-			_ = server.Close()
-		}
-		_ = hosted.metrics()
+		hosted.close()
 		hosted.log.Info("stopped", "ms", time.Since(startedAt).Milliseconds(), "cut", cut)
 	})
 	<-hosted.done
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -10,6 +10,7 @@
 	"lentilproxy/core/guard"
 	"lentilproxy/core/place"
 	"lentilproxy/io/loans"
+	"lentilproxy/io/peer"
 
 	"github.com/samber/oops"
 )
@@ -126,9 +127,9 @@
 
 // answer decodes a call and lets the control goroutine answer it.
 func answer[P, R any](ctx context.Context, control *control, params json.RawMessage, call func(now time.Time, params P) R) (any, error) {
-	var decoded P
-	if err := json.Unmarshal(params, &decoded); err != nil {
-		return nil, oops.Code("bad_params").Wrap(err)
+	decoded, err := peer.Decode[P](params)
+	if err != nil {
+		return nil, err
 	}
 	var result R
 	if !control.node.loop.Do(ctx, func(now time.Time) { result = call(now, decoded) }) {
@@ -139,9 +140,9 @@
 
 // direct decodes a call and answers it in the goroutine of the connection.
 func direct[P, R any](params json.RawMessage, call func(now time.Time, params P) R) (any, error) {
-	var decoded P
-	if err := json.Unmarshal(params, &decoded); err != nil {
-		return nil, oops.Code("bad_params").Wrap(err)
+	decoded, err := peer.Decode[P](params)
+	if err != nil {
+		return nil, err
 	}
 	return call(time.Now(), decoded), nil
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -94,11 +94,7 @@
 	node.background, node.cancel = context.WithCancel(context.Background())
 	node.loop = loop.New(node.background, taskQueue)
 	node.view.Store(&View{state: conf.NewState(), changed: make(chan struct{})})
-	var poolOptions []peer.PoolOption
-	if address, isTCP := listener.Addr().(*net.TCPAddr); isTCP && !address.IP.IsUnspecified() {
-		poolOptions = append(poolOptions, peer.WithLocalIP(address.IP))
-	}
-	node.pool = peer.NewPool(node.meter, poolOptions...)
+	node.pool = peer.NewPool(node.meter, peer.WithLocalIP(listener))
 	node.traffic = newTraffic(node)
 	control := newControl(node)
 	node.traffic.control = control
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// Decode decodes the parameters of a call.
+func Decode[P any](params json.RawMessage) (P, error) {
+	var decoded P
+	if err := json.Unmarshal(params, &decoded); err != nil {
+		return decoded, oops.Code("bad_params").Wrap(err)
+	}
+	return decoded, nil
+}
+
 func open(conn net.Conn, meter *Meter, handler jsonrpc2.Handler) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewPlainObjectStream(meter.wrap(conn))
 	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(quiet))
@@ -118,9 +127,14 @@
 // PoolOption configures a pool.
 type PoolOption func(*Pool)
 
-// WithLocalIP makes the pool connect from an address of the host, so that peers and networks can tell hosts apart.
-func WithLocalIP(address net.IP) PoolOption {
-	return func(pool *Pool) { pool.dialer.LocalAddr = &net.TCPAddr{IP: address} }
+// WithLocalIP makes the pool connect from the address that a listener is bound to, if it is bound to one, so that peers
+// and networks can tell hosts apart.
+func WithLocalIP(listener net.Listener) PoolOption {
+	return func(pool *Pool) {
+		if address, isTCP := listener.Addr().(*net.TCPAddr); isTCP && !address.IP.IsUnspecified() {
+			pool.dialer.LocalAddr = &net.TCPAddr{IP: address.IP}
+		}
+	}
 }
 
 // NewPool returns a pool without connections.
