--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -193,13 +193,19 @@
 	is.Equal(controller.State(now, "d"), LoadReady)
 }
 
-func TestAdaptersInUseAreNotUnloaded(t *testing.T) {
-	is := is.New(t)
+// loaded returns a controller of an engine with two places that has loaded some adapters, and when it has.
+func loaded(names ...string) (time.Time, *Controller, *engine) {
 	engine := newEngine(2)
 	controller := New("m", 2, start)
-	controller.Request(start, "a", 1)
-	controller.Request(start, "b", 1)
-	now := serve(start, time.Second, controller, engine)
+	for _, name := range names {
+		controller.Request(start, name, 1)
+	}
+	return serve(start, time.Second, controller, engine), controller, engine
+}
+
+func TestAdaptersInUseAreNotUnloaded(t *testing.T) {
+	is := is.New(t)
+	now, controller, engine := loaded("a", "b")
 	controller.Running(now, "host", map[string]int{"a": 1, "b": 1})
 	is.Equal(controller.Request(now, "c", 9), LoadRejected)
 	controller.Running(now, "host", map[string]int{"a": 1})
@@ -212,11 +218,7 @@
 
 func TestLeastDemandedMakesRoom(t *testing.T) {
 	is := is.New(t)
-	engine := newEngine(2)
-	controller := New("m", 2, start)
-	controller.Request(start, "busy", 1)
-	controller.Request(start, "rare", 1)
-	now := serve(start, time.Second, controller, engine)
+	now, controller, engine := loaded("busy", "rare")
 	controller.Used(now, "busy", 20)
 	now = serve(now, time.Second, controller, engine)
 	controller.Request(now, "new", 1)
@@ -230,10 +232,7 @@
 
 func TestNewVersionWaitsForRuns(t *testing.T) {
 	is := is.New(t)
-	engine := newEngine(2)
-	controller := New("m", 2, start)
-	controller.Request(start, "a", 1)
-	now := serve(start, time.Second, controller, engine)
+	now, controller, engine := loaded("a")
 	controller.Running(now, "host", map[string]int{"a": 1})
 	engine.newest["a"] = 2
 	controller.Announce(map[string]int64{"a": 2})
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -59,6 +59,15 @@
 	return script
 }
 
+// newAnswerer answers every request, and keeps the connection or closes it.
+func newAnswerer(t *testing.T, keep bool) *script {
+	t.Helper()
+	return newScript(t, func(conn net.Conn, _ int, id string) bool {
+		write(conn, plain(id, "ok"))
+		return keep
+	})
+}
+
 func ask(pool *Pool, script *script, id string) (body string, status int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -89,10 +98,7 @@
 
 func TestConnectionsAreReused(t *testing.T) {
 	is := is.New(t)
-	script := newScript(t, func(conn net.Conn, _ int, id string) bool {
-		write(conn, plain(id, "ok"))
-		return true
-	})
+	script := newAnswerer(t, true)
 	pool := newPool(t)
 	for range 5 {
 		body, status, err := ask(pool, script, "a")
@@ -203,10 +209,7 @@
 // A connection that the server has closed is not used, so that the request is not lost with it.
 func TestClosedIdleConnectionsAreNotUsed(t *testing.T) {
 	is := is.New(t)
-	script := newScript(t, func(conn net.Conn, _ int, id string) bool {
-		write(conn, plain(id, "ok"))
-		return false
-	})
+	script := newAnswerer(t, false)
 	pool := newPool(t)
 	for range 5 {
 		_, _, err := ask(pool, script, "mine")
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -170,7 +170,7 @@
 		}
 		whole := strings.HasPrefix(attempt.body, "answer of ")
 		if attempt.adapter != "" {
-			whole = wholeStream(attempt.body)
+			whole = attempt.body == stub.Stream(streamEvents)
 		}
 		if !whole || !attempt.signed {
 			report("signed %t, body %q: %s", attempt.signed, attempt.body, attempt)
@@ -178,17 +178,6 @@
 	}
 }
 
-// wholeStream says whether a stream has each event once, in order, and is not cut.
-func wholeStream(body string) bool {
-	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
-	for index, event := range events {
-		if event != fmt.Sprintf("id: %d\ndata: piece %d", index+1, index+1) {
-			return false
-		}
-	}
-	return strings.HasSuffix(body, "\n\n")
-}
-
 func (record *record) checkKeys(report func(format string, args ...any)) {
 	for _, attempt := range record.attempts {
 		for _, arrival := range record.arrivals[attempt.id] {
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +26,9 @@
 	configGap   = 60 * time.Millisecond
 	// rate is the limit of the workspace in tokens a second; the callers ask for about as much.
 	rate = 5000
+	// streamEvents is the number of events of a stream, eventGap the time between them.
+	streamEvents = 6
+	eventGap     = 20 * time.Millisecond
 	// places is the number of adapters that an engine holds.
 	places = 6
 )
@@ -107,7 +109,7 @@
 
 // replace starts a server, in place of the one before.
 func (world *world) replace(known *backend) error {
-	options := []stub.ServerOption{stub.WithEvents(6, 20*time.Millisecond)}
+	options := []stub.ServerOption{stub.WithEvents(streamEvents, eventGap)}
 	if known.service == stub.ServiceChat {
 		options = append(options, stub.WithModel(stub.Model, places))
 	}
@@ -244,7 +246,7 @@
 	}
 }
 
-// disturb carries an event out, from its beginning to its end. It says which host it concerned, or "" for all.
+// disturb carries an event out, from its beginning to its end.
 func (soak *Soak) disturb(event Event) {
 	host := soak.hosts[event.Target%len(soak.hosts)]
 	switch event.Kind {
@@ -357,6 +359,6 @@
 		err = soak.world.drain(known, event.For)
 	}
 	if err != nil {
-		soak.violate("setup", strings.Join([]string{"a server does not start:", err.Error()}, " "))
+		soak.violate("setup", "a server does not start: "+err.Error())
 	}
 }
