slots: a conflict ends with its backoff

Cause: after one OrderConflict, blocked() held from maxBlocked on until an order succeeded.

Change: a server is blocked until the backoff after its last conflict ends; the next request leads to an order again. A report is requested also when a series of conflicts lasts a second, since rare requests do not reach 25 conflicts.

Ruled out: resetting the series after a pause, since a wrong sequence would never be noticed with rare requests.

TestConflictEndsWithoutFurtherOrders failed before and passes now.

--- a/core/slots/counts.go
+++ b/core/slots/counts.go
@@ -98,9 +98,10 @@
 	return controller.synced && controller.usedSlots() >= controller.capacity && !controller.evicting() && controller.allRunning(now)
 }
 
-// blocked reports whether the server has rejected all orders as conflicts for a while.
+// blocked reports whether the server has rejected all orders as conflicts for a while. It ends with the backoff after the
+// last conflict, so that a new request leads to the next order, which may succeed.
 func (controller *Controller) blocked(now time.Time) bool {
-	return controller.conflicts > 0 && now.Sub(controller.conflictSince) > maxBlocked
+	return controller.conflicts > 0 && now.Sub(controller.conflictSince) > maxBlocked && now.Before(controller.backoffUntil)
 }
 
 // requestedCount returns the number of adapters that wait to be loaded.
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -122,7 +122,7 @@
 	if controller.conflicts == 1 {
 		controller.conflictSince = now
 	}
-	if controller.conflicts >= maxConflicts {
+	if controller.conflicts >= maxConflicts || now.Sub(controller.conflictSince) >= maxConflictTime {
 		controller.conflicts = 0
 		controller.MarkOutcomeUnknown(now)
 		return
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -31,8 +31,10 @@
 	retireMargin = 150 * time.Millisecond
 	// conflictBackoff is the wait after an order that conflicted with another one in progress.
 	conflictBackoff = 40 * time.Millisecond
-	// maxConflicts is the number of consecutive conflicts after which the sequence may be wrong and a report is requested.
-	maxConflicts = 25
+	// maxConflicts and maxConflictTime are the number of consecutive conflicts and the time since the first of them after
+	// which the sequence may be wrong and a report is requested.
+	maxConflicts    = 25
+	maxConflictTime = time.Second
 	// maxBlocked is how long a server may reject orders as conflicts before requests go to another one.
 	maxBlocked = 200 * time.Millisecond
 	// maxRequested is the number of adapters that may wait to be loaded on one server: each server loads about seven
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -244,6 +244,44 @@
 	is.Equal(controller.Ready()["a"], int64(2))
 }
 
+// A conflict ends by itself: requests for adapters are accepted again, without another order in between that a server
+// with nothing else to do would never get.
+func TestConflictEndsWithoutFurtherOrders(t *testing.T) {
+	is := is.New(t)
+	now, controller, engine := loaded("a")
+	controller.Request(now, "b", 1)
+	order, found := controller.NextOrder(now, true)
+	is.True(found)
+	controller.MarkSent(now, order)
+	controller.ApplyOutcome(now, order, lentilproxy.OrderConflict)
+	now = now.Add(500 * time.Millisecond)
+	is.Equal(controller.Request(now, "c", 1), LoadPending)
+	now = serve(now, time.Second, controller, engine)
+	is.Equal(controller.State(now, "c"), LoadReady)
+}
+
+// A server that rejects every order gets one now and then, and a report is requested although requests are rare.
+func TestRareConflictsLeadToAReport(t *testing.T) {
+	is := is.New(t)
+	now, controller, engine := loaded("a")
+	engine.sequence += 3
+	for attempt := 0; attempt < 3 && controller.State(now, "b") != LoadReady; attempt++ {
+		controller.Request(now, "b", 1)
+		now = serve(now, maxConflictTime, controller, engine)
+	}
+	is.Equal(controller.State(now, "b"), LoadReady)
+}
+
+// While a server rejects its orders as conflicts, requests are sent to another one.
+func TestBlockedServerRejectsRequests(t *testing.T) {
+	is := is.New(t)
+	now, controller, engine := loaded("a", "b")
+	engine.unloading, engine.runs["a"] = "a", now.Add(time.Minute)
+	controller.Request(now, "c", 1)
+	now = serve(now, maxBlocked+2*conflictBackoff, controller, engine)
+	is.Equal(controller.State(now, "c"), LoadRejected)
+}
+
 func TestServerThatStartedWithoutModelLoadsIt(t *testing.T) {
 	is := is.New(t)
 	controller := New("m", 2, start)
