--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -8,22 +8,35 @@
 	"pgregory.net/rapid"
 )
 
-// In every window, the retries of all hosts stay within the ratio of the requests plus the allowance. As on the
-// platform, the requests of the window and of the preceding window count.
+type event struct {
+	at    time.Time
+	retry bool
+}
+
+// count returns the number of retries or requests in the window that starts at a point in time.
+func count(events []event, start time.Time, window time.Duration, retry bool) float64 {
+	sum := 0.0
+	for _, event := range events {
+		if since := event.at.Sub(start); event.retry == retry && since >= 0 && since < window {
+			sum++
+		}
+	}
+	return sum
+}
+
+// In every window, the retries of all hosts stay within the ratio of the requests plus the allowance, for any number of
+// hosts. As on the platform, the requests count of the window, the one before it or the one half a window before it,
+// whichever has most.
 func TestBudgetHoldsOverAllHosts(t *testing.T) {
 	const ratio, window = 0.2, 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		allowance := float64(rapid.IntRange(10, 200).Draw(t, "allowance"))
-		hosts := rapid.IntRange(1, 8).Draw(t, "hosts")
+		hosts := rapid.SampledFrom([]int{1, 2, 5, 8, 25, 78, 195, 360}).Draw(t, "hosts")
 		start := time.Unix(1000, 0)
 		var budgets []*Budget
 		for range hosts {
 			budgets = append(budgets, New(start, ratio, allowance, window, hosts))
 		}
-		type event struct {
-			at    time.Time
-			retry bool
-		}
 		var events []event
 		now := start
 		for range rapid.IntRange(50, 600).Draw(t, "steps") {
@@ -37,23 +50,49 @@
 			}
 		}
 		for _, first := range events {
-			var requests, retries float64
-			for _, each := range events {
-				since := each.at.Sub(first.at)
-				switch {
-				case each.retry && since >= 0 && since < window:
-					retries++
-				case !each.retry && since >= -window && since < window:
-					requests++
-				}
-			}
-			if retries > ratio*requests+max(allowance, 2*float64(hosts)*2) {
+			requests := max(count(events, first.at, window, false), count(events, first.at.Add(-window), window, false),
+				count(events, first.at.Add(-window/2), window, false))
+			if retries := count(events, first.at, window, true); retries > ratio*requests+allowance {
 				t.Fatalf("%v retries with %v requests and an allowance of %v", retries, requests, allowance)
 			}
 		}
 	})
 }
 
+// Hundreds of hosts want to retry at once, more often than they have a share of the allowance for. A floor of two
+// retries a host would exceed the allowance of 430 with 216 hosts already.
+func TestBudgetHoldsWhenAllHostsRetryAtOnce(t *testing.T) {
+	const ratio, window, allowance = 0.2, 10 * time.Second, 430
+	for _, hosts := range []int{25, 78, 195, 360} {
+		start := time.Unix(1000, 0)
+		retries := 0
+		for range hosts {
+			budget := New(start, ratio, allowance, window, hosts)
+			now := start.Add(window)
+			for range 10 {
+				now = now.Add(window / 10)
+				if budget.Take(now, hosts) {
+					retries++
+				}
+			}
+		}
+		is.New(t).True(retries <= allowance)
+	}
+}
+
+// A host whose share of the allowance is less than one retry earns retries by its requests.
+func TestRequestsEarnRetriesOnSmallShares(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	budget := New(now, 0.2, 50, 10*time.Second, 360)
+	is.True(!budget.Take(now, 360))
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		budget.CountRequest(now, 360)
+	}
+	is.True(budget.Take(now, 360))
+}
+
 func TestBudgetRefills(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
