place: loads end after their engine was removed, idle workspaces start level

TestLoadEndsAfterItsEngineWasRemoved ended the process with a nil pointer; TestIdleWorkspaceStartsLevel gave all loads to the idle workspace. Unused fields and functions are removed (since, Tracks, loadedReported).

--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -58,7 +58,6 @@
 	ticket   int64
 	host     string
 	request  PermitRequest
-	since    time.Time
 	deadline time.Time
 }
 
@@ -225,7 +224,7 @@
 		manager.MarkMissing(now, avoid)
 	}
 	manager.waiting = append(manager.waiting, &waiter{
-		ticket: manager.lastTicket, host: host, request: request, since: now, deadline: deadline,
+		ticket: manager.lastTicket, host: host, request: request, deadline: deadline,
 	})
 	return manager.lastTicket
 }
@@ -327,6 +326,11 @@
 	if entry == nil {
 		return
 	}
+	if ok && manager.engines[entry.engine] == nil {
+		// The engine was removed from the pool during the load.
+		manager.untrack(entry)
+		return
+	}
 	if ok {
 		manager.setStage(entry, stageReady)
 		entry.lastUse = now
@@ -481,9 +485,6 @@
 	}
 }
 
-// Tracks reports whether the manager tracks an instance.
-func (manager *Manager) Tracks(name string) bool { return manager.instances[name] != nil }
-
 // Waiting returns the number of permit requests without a reply.
 func (manager *Manager) Waiting() int { return len(manager.waiting) }
 
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -137,12 +137,14 @@
 	return []Order{{Kind: OrderLoad, Engine: engineName, Instance: name, Source: request.Source}}
 }
 
-// charge adds a load to the weighted count of its workspace. The count is first raised to the lowest count of a waiting
-// workspace, so that a workspace that was idle starts level with the least served one. While the workspace itself has a
-// waiting request, its own count takes part in that minimum, and nothing is raised.
+// charge adds a load to the weighted count of its workspace. The count is first raised to the lowest count of another
+// waiting workspace, so that a workspace that was idle starts level with the least served one.
 func (manager *Manager) charge(request PermitRequest) {
 	lowest := -1.0
 	for _, waiter := range manager.waiting {
+		if waiter.request.Workspace == request.Workspace {
+			continue
+		}
 		count := manager.weightedLoads[waiter.request.Workspace]
 		if lowest < 0 || count < lowest {
 			lowest = count
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -76,10 +76,9 @@
 	own           Usage
 	peers         map[string]peerUsage
 	tokenTime     time.Duration
-	loaded        Loaded
-	// loadedReported is set once the lease holder has reported the loaded adapters; until then, the registration counts.
-	loadedReported bool
-	health         health
+	// loaded is what the lease holder reported last; until then, the registration counts.
+	loaded Loaded
+	health health
 }
 
 // Scheduler tracks the load and health of backend servers on one host and chooses servers for its requests. It is not
@@ -141,7 +140,7 @@
 // SetLoaded records what an incarnation of a server has loaded, as reported by its lease holder.
 func (scheduler *Scheduler) SetLoaded(name string, startedMillis int64, loaded Loaded) {
 	if state := scheduler.servers[name]; state != nil && state.startedMillis == startedMillis {
-		state.loaded, state.loadedReported = loaded, true
+		state.loaded = loaded
 	}
 }
 
