peer, report, burn, node: faults read in the code

- peer: a call longer than the idle timeout lost its connection; a connection was set without the mutex (race detector); a flag that nothing could read is removed.
- report: one expired bucket was deleted a flush, errors were not logged. burn: buckets that were taken before one that cannot be encoded counted as stored.
- node: records of quorums were never dropped; an incomplete row was reported as <nil>.

--- a/core/burn/burn.go
+++ b/core/burn/burn.go
@@ -5,6 +5,7 @@
 package burn
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -29,7 +30,10 @@
 )
 
 // Windows lists the periods before the report over which burn rates are computed.
-var Windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 3 * 24 * time.Hour}
+var Windows = []time.Duration{5 * time.Minute, time.Hour, exhaustionWindow, 3 * 24 * time.Hour}
+
+// exhaustionWindow is the window whose burn rate predicts when a budget will be exhausted.
+const exhaustionWindow = 6 * time.Hour
 
 // The indicators that an objective can measure.
 const (
@@ -173,7 +177,10 @@
 			bucket.Latencies[name] = encoded
 		}
 		buckets = append(buckets, bucket)
-		open.dirty = false
+	}
+	// Only now, since a bucket that cannot be encoded must not make the others count as stored.
+	for _, bucket := range buckets {
+		collector.buckets[bucket.Hour].dirty = false
 	}
 	return buckets, nil
 }
@@ -307,7 +314,7 @@
 // setBudget sets the unused part of the budget, and when it will be exhausted at the burn rate of the 6 h window.
 func (row *Row) setBudget(now time.Time, objective setup.Objective) {
 	row.BudgetLeft = 1 - burnRate(row.Total, objective.Target)
-	rate := row.Burn[2]
+	rate := row.Burn[slices.Index(Windows, exhaustionWindow)]
 	if row.BudgetLeft <= 0 || rate <= 0 {
 		return
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -65,7 +65,7 @@
 	platform := table.New(settings.Platform.Table)
 	daemon.node = node.New(settings, platform, platform, opened.open[peersListenerIndex], node.WithLog(daemon.log), node.WithMetrics(scope))
 	daemon.ledger = ledger.New(platform, settings.Host.Name)
-	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives)
+	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives, report.WithLog(daemon.log))
 	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
 	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports))
 	if err != nil {
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -131,8 +131,8 @@
 		}
 		for _, row := range result.Rows {
 			var change conf.Change
-			if err = json.Unmarshal(row.Value, &change); err != nil || !change.Complete() {
-				return nil, oops.Code("bad_row").With("row", row.Key).Errorf("a row cannot be read: %v", err)
+			if err = decodeRow(row, &change); err != nil {
+				return nil, err
 			}
 			changes = append(changes, change)
 			revision = change.Revision
@@ -143,6 +143,18 @@
 	}
 }
 
+// decodeRow decodes a row. It returns an error of the code bad_row if the row cannot be read or lacks a field.
+func decodeRow(row lentilproxy.Row, content interface{ Complete() bool }) error {
+	failure := oops.Code("bad_row").With("row", row.Key)
+	if err := json.Unmarshal(row.Value, content); err != nil {
+		return failure.Wrapf(err, "a row cannot be read")
+	}
+	if !content.Complete() {
+		return failure.Errorf("a row lacks a required field")
+	}
+	return nil
+}
+
 // readSnapshot reads all resources. Changes that are committed during the read are in the log after the snapshot's
 // revision.
 func (node *Node) readSnapshot(ctx context.Context) (*conf.State, error) {
@@ -163,8 +175,8 @@
 		}
 		for _, row := range page.Rows {
 			var resource conf.Resource
-			if err = json.Unmarshal(row.Value, &resource); err != nil || !resource.Complete() {
-				return nil, oops.Code("bad_row").With("row", row.Key).Errorf("a row cannot be read: %v", err)
+			if err = decodeRow(row, &resource); err != nil {
+				return nil, err
 			}
 			resources = append(resources, resource)
 			after = row.Key
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -14,6 +14,7 @@
 
 	"lentilproxy"
 	"lentilproxy/core/conf"
+	"lentilproxy/core/fresh"
 	"lentilproxy/core/setup"
 	"lentilproxy/io/loans"
 )
@@ -216,3 +217,27 @@
 	})
 	group.Wait()
 }
+
+// A quorum that holds a revision holds all earlier ones, so few entries are kept, and none that still counts is lost.
+func TestQuorumRecordsStayBounded(t *testing.T) {
+	is := is.New(t)
+	quorumSince := map[int64]time.Time{}
+	now := time.Unix(1000, 0)
+	for revision := range int64(1000) {
+		now = now.Add(time.Second)
+		recordQuorum(now, quorumSince, revision)
+		is.True(len(quorumSince) <= int(fresh.TakeoverDelay/time.Second)+2)
+	}
+	is.True(recordQuorum(now, quorumSince, 5) >= fresh.TakeoverDelay)
+	is.Equal(recordQuorum(now, quorumSince, 1000), time.Duration(0))
+}
+
+func TestIncompleteRowsAreNamedInErrors(t *testing.T) {
+	is := is.New(t)
+	for _, content := range []string{"{", "{}"} {
+		var resource conf.Resource
+		err := decodeRow(lentilproxy.Row{Key: "resource/1", Value: []byte(content)}, &resource)
+		is.True(err != nil)
+		is.True(!strings.Contains(err.Error(), "nil"))
+	}
+}
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/samber/oops"
@@ -120,12 +121,27 @@
 	if !control.state.Roster().Quorum(confirmed) {
 		return 0
 	}
-	since, found := control.quorumSince[revision]
-	if !found {
-		control.quorumSince[revision] = now
-		return 0
+	return recordQuorum(now, control.quorumSince, revision)
+}
+
+// recordQuorum records that a quorum holds a revision now, and returns for how long it is known to have held it. A
+// quorum that holds a revision holds all earlier ones, so those before the newest one that has been held for
+// fresh.TakeoverDelay are dropped.
+func recordQuorum(now time.Time, quorumSince map[int64]time.Time, revision int64) time.Duration {
+	if _, found := quorumSince[revision]; !found {
+		quorumSince[revision] = now
+	}
+	longest, settled := time.Duration(0), int64(0)
+	for held, since := range quorumSince {
+		if held >= revision {
+			longest = max(longest, now.Sub(since))
+		}
+		if now.Sub(since) >= fresh.TakeoverDelay {
+			settled = max(settled, held)
+		}
 	}
-	return now.Sub(since)
+	maps.DeleteFunc(quorumSince, func(held int64, _ time.Time) bool { return held < settled })
+	return longest
 }
 
 func (control *control) proposeRoster(old, next *conf.Roster, done func()) {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -30,7 +30,6 @@
 	done     chan struct{}
 	mutex    sync.Mutex
 	conns    map[net.Conn]struct{}
-	closing  bool
 	meter    *Meter
 }
 
@@ -53,10 +52,6 @@
 func (server *Server) serve(conn net.Conn, handler Handler) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if server.closing {
-		_ = conn.Close()
-		return
-	}
 	server.conns[conn] = struct{}{}
 	rpc := newConn(conn, server.meter, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
 		func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
@@ -84,7 +79,6 @@
 	<-server.done
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.closing = true
 	for conn := range server.conns {
 		_ = conn.Close()
 	}
@@ -114,6 +108,8 @@
 	conn    *jsonrpc2.Conn
 	err     error
 	lastUse time.Time
+	// active is the number of calls in progress.
+	active int
 }
 
 // Pool keeps one connection to each peer.
@@ -170,20 +166,31 @@
 func (pool *Pool) Close() {
 	close(pool.stop)
 	<-pool.done
-	pool.closeIdle(time.Now().Add(2 * IdleTimeout))
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for address, entry := range pool.entries {
+		pool.remove(address, entry)
+	}
+}
+
+// remove removes the connection to a peer and closes it. The mutex must be held.
+func (pool *Pool) remove(address string, entry *poolEntry) {
+	if pool.entries[address] == entry {
+		delete(pool.entries, address)
+	}
+	if entry.conn != nil {
+		_ = entry.conn.Close()
+	}
 }
 
 func (pool *Pool) closeIdle(now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for address, entry := range pool.entries {
-		if now.Sub(entry.lastUse) < IdleTimeout {
+		if entry.active > 0 || now.Sub(entry.lastUse) < IdleTimeout {
 			continue
 		}
-		delete(pool.entries, address)
-		if entry.conn != nil {
-			_ = entry.conn.Close()
-		}
+		pool.remove(address, entry)
 	}
 }
 
@@ -191,6 +198,7 @@
 func (pool *Pool) Call(ctx context.Context, address, method string, params, result any) error {
 	failure := oops.Code("peer_unavailable").With("method", method)
 	entry, err := pool.connect(ctx, address)
+	defer pool.release(entry)
 	if err != nil {
 		return failure.Wrap(err)
 	}
@@ -210,7 +218,16 @@
 	return failure.Wrap(err)
 }
 
-// connect returns the connection to a peer once it is open. It starts to dial if there is none.
+// release records the end of a call.
+func (pool *Pool) release(entry *poolEntry) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	entry.active--
+	entry.lastUse = time.Now()
+}
+
+// connect returns the connection to a peer once it is open. It starts to dial if there is none. The caller must release
+// the entry, also after an error.
 func (pool *Pool) connect(ctx context.Context, address string) (*poolEntry, error) {
 	pool.mutex.Lock()
 	entry := pool.entries[address]
@@ -219,13 +236,13 @@
 		pool.entries[address] = entry
 		go pool.dial(address, entry)
 	}
-	entry.lastUse = time.Now()
+	entry.active++
 	pool.mutex.Unlock()
 	select {
 	case <-entry.ready:
 		return entry, entry.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return entry, ctx.Err()
 	}
 }
 
@@ -237,19 +254,22 @@
 		pool.drop(address, entry)
 		return
 	}
-	entry.conn = newConn(conn, pool.meter, rejectCalls{})
+	rpc := newConn(conn, pool.meter, rejectCalls{})
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	entry.conn = rpc
+	if pool.entries[address] != entry {
+		// The entry was removed in the meantime.
+		entry.err = net.ErrClosed
+		_ = rpc.Close()
+	}
 }
 
 // drop closes a connection, so that the next call dials again.
 func (pool *Pool) drop(address string, entry *poolEntry) {
 	pool.mutex.Lock()
-	if pool.entries[address] == entry {
-		delete(pool.entries, address)
-	}
-	pool.mutex.Unlock()
-	if entry.conn != nil {
-		_ = entry.conn.Close()
-	}
+	defer pool.mutex.Unlock()
+	pool.remove(address, entry)
 }
 
 // rejectCalls rejects calls that arrive on an outgoing connection. A peer opens its own connection for its calls.
--- a/io/report/report.go
+++ b/io/report/report.go
@@ -14,6 +14,7 @@
 	"lentilproxy/core/burn"
 	"lentilproxy/core/setup"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 )
@@ -26,24 +27,36 @@
 	retention    = 31 * 24 * time.Hour
 	pageSize     = 500
 	tableTimeout = 2 * time.Second
+	// maxDeletes is the number of expired buckets that a host deletes after each flush.
+	maxDeletes = 100
 )
 
 // Recorder counts and stores the events of one run of a host's process.
 type Recorder struct {
 	table      lentilproxy.Table
 	objectives []setup.Objective
+	log        logr.Logger
 	mutex      sync.Mutex
 	collector  *burn.Collector
 	stop       chan struct{}
 	done       chan struct{}
 }
 
+// Option configures a recorder.
+type Option func(*Recorder)
+
+// WithLog sets the log.
+func WithLog(log logr.Logger) Option { return func(recorder *Recorder) { recorder.log = log } }
+
 // New returns the recorder of a host and starts its periodic writes.
-func New(table lentilproxy.Table, host string, objectives []setup.Objective) *Recorder {
+func New(table lentilproxy.Table, host string, objectives []setup.Objective, options ...Option) *Recorder {
 	recorder := &Recorder{
-		table: table, objectives: objectives, collector: burn.NewCollector(host, uuid.NewString(), objectives),
+		table: table, objectives: objectives, log: logr.Discard(), collector: burn.NewCollector(host, uuid.NewString(), objectives),
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
+	for _, option := range options {
+		option(recorder)
+	}
 	go func() {
 		defer close(recorder.done)
 		ticker := time.NewTicker(flushInterval)
@@ -52,7 +65,7 @@
 			select {
 			case now := <-ticker.C:
 				recorder.Flush(context.Background(), now)
-				recorder.deleteExpired(now)
+				recorder.deleteExpired(context.Background(), now)
 			case <-recorder.stop:
 				return
 			}
@@ -84,10 +97,12 @@
 	buckets, err := recorder.collector.TakeDirty()
 	recorder.mutex.Unlock()
 	if err != nil {
+		recorder.log.Error(err, "failed to encode the service-level counts; they are written with the next flush")
 		return
 	}
 	for _, bucket := range buckets {
-		if recorder.write(ctx, bucket) != nil {
+		if err := recorder.write(ctx, bucket); err != nil {
+			recorder.log.Info("failed to write service-level counts; they are written with the next flush", "hour", bucket.Hour, "error", err.Error())
 			recorder.mutex.Lock()
 			recorder.collector.MarkDirty(bucket)
 			recorder.mutex.Unlock()
@@ -113,23 +128,35 @@
 	return err
 }
 
-// deleteExpired deletes the oldest bucket if it is older than the retention. Several hosts may do so at the same time.
-func (recorder *Recorder) deleteExpired(now time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+// deleteExpired deletes the oldest buckets that are older than the retention, up to maxDeletes. Several hosts may do so at
+// the same time.
+func (recorder *Recorder) deleteExpired(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	page, err := recorder.table.Read(ctx, lentilproxy.ReadRequest{Prefixes: []string{bucketPrefix}, Limit: 1})
-	if err != nil || len(page.Rows) == 0 {
+	page, err := recorder.table.Read(ctx, lentilproxy.ReadRequest{Prefixes: []string{bucketPrefix}, Limit: maxDeletes})
+	if err != nil {
+		recorder.log.Info("failed to look for expired service-level counts", "error", err.Error())
 		return
 	}
-	hour, _, _ := strings.Cut(strings.TrimPrefix(page.Rows[0].Key, bucketPrefix), "/")
-	number, err := strconv.ParseInt(hour, 10, 64)
-	if err != nil || now.Sub(time.Unix(number*int64(burn.BucketDuration.Seconds()), 0)) < retention {
-		return
+	for _, row := range page.Rows {
+		if !expired(now, row.Key) {
+			return
+		}
+		if _, err = recorder.table.Commit(ctx, lentilproxy.Transaction{
+			Conditions: []lentilproxy.Condition{{Key: row.Key, Version: row.Version}},
+			Writes:     []lentilproxy.Write{{Key: row.Key, Delete: true}},
+		}); err != nil {
+			recorder.log.Info("failed to delete expired service-level counts", "row", row.Key, "error", err.Error())
+			return
+		}
 	}
-	_, _ = recorder.table.Commit(ctx, lentilproxy.Transaction{
-		Conditions: []lentilproxy.Condition{{Key: page.Rows[0].Key, Version: page.Rows[0].Version}},
-		Writes:     []lentilproxy.Write{{Key: page.Rows[0].Key, Delete: true}},
-	})
+}
+
+// expired reports whether the bucket under a key is older than the retention.
+func expired(now time.Time, key string) bool {
+	hour, _, _ := strings.Cut(strings.TrimPrefix(key, bucketPrefix), "/")
+	number, err := strconv.ParseInt(hour, 10, 64)
+	return err == nil && now.Sub(time.Unix(number*int64(burn.BucketDuration.Seconds()), 0)) >= retention
 }
 
 // Burn returns the report over all hosts, including the latest events of this host.
