--- a/io/fake/engine.go
+++ b/io/fake/engine.go
@@ -61,6 +61,8 @@
 	Loads       int64 `json:"loads"`
 	// UnloadsWhileServing counts unloads of adapters with running requests.
 	UnloadsWhileServing int64 `json:"unloads_while_serving"`
+	// LastViolation describes the last of these unloads.
+	LastViolation string `json:"last_violation,omitempty"`
 	// KeysSeen counts requests that contained a caller's key anywhere.
 	KeysSeen int64 `json:"keys_seen"`
 	// OutdatedOrders counts orders whose fencing token is older than that of an earlier order.
@@ -77,8 +79,10 @@
 
 	mutex sync.Mutex
 	// loaded holds the number of running requests of each loaded adapter.
-	loaded           map[string]int
-	loading          map[string]bool
+	loaded  map[string]int
+	loading map[string]bool
+	// runs holds the running completions.
+	runs             map[*engineRun]struct{}
 	fencingToken     int64
 	fault            EngineFault
 	stats            EngineStats
@@ -90,7 +94,7 @@
 
 // NewEngine returns an engine with empty adapter slots.
 func NewEngine(options EngineOptions) *Engine {
-	engine := &Engine{options: options, mux: http.NewServeMux(), loaded: map[string]int{}, loading: map[string]bool{}}
+	engine := &Engine{options: options, mux: http.NewServeMux(), loaded: map[string]int{}, loading: map[string]bool{}, runs: map[*engineRun]struct{}{}}
 	engine.incarnation, engine.endIncarnation = context.WithCancel(context.Background())
 	engine.mux.HandleFunc("POST /v1/completions", engine.handleCompletion)
 	engine.mux.HandleFunc("POST /v1/chat/completions", engine.handleCompletion)
@@ -230,12 +234,16 @@
 func (engine *Engine) endLoad(incarnation context.Context, name string, err error) (status int, code string) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
+	if incarnation.Err() != nil {
+		// The engine has restarted; another load of the same name may be in progress.
+		return http.StatusInternalServerError, "load_failed"
+	}
 	delete(engine.loading, name)
 	if engine.fault.FailLoads > 0 {
 		engine.fault.FailLoads--
 		return http.StatusInternalServerError, "load_failed"
 	}
-	if err != nil || incarnation.Err() != nil {
+	if err != nil {
 		return http.StatusInternalServerError, "load_failed"
 	}
 	engine.loaded[name] = 0
@@ -275,11 +283,31 @@
 	}
 	if running > 0 {
 		engine.stats.UnloadsWhileServing++
+		engine.stats.LastViolation = engine.describeViolation(order.Name, request.Header.Get(engineclient.FencingHeader))
 	}
 	delete(engine.loaded, order.Name)
 	writeJSON(writer, http.StatusOK, struct{}{})
 }
 
+// describeViolation describes an unload of an adapter with running requests. The mutex must be held.
+func (engine *Engine) describeViolation(name, fencingToken string) string {
+	now := time.Now()
+	text := fmt.Sprintf("%s unloaded %s with fencing token %s", now.Format(time.StampMilli), name, fencingToken)
+	for run := range engine.runs {
+		if run.completion.Model != name {
+			continue
+		}
+		text += fmt.Sprintf("; request from %s started %s ago", run.request.RemoteAddr, now.Sub(run.startedAt))
+		if !run.respondedAt.IsZero() {
+			text += fmt.Sprintf(", response ended %s ago", now.Sub(run.respondedAt))
+		}
+		if run.request.Context().Err() != nil {
+			text += ", cancelled"
+		}
+	}
+	return text
+}
+
 // writeError sends an error response in the format of OpenAI-compatible engines.
 func writeError(writer http.ResponseWriter, status int, code, message string) {
 	type engineError struct {
@@ -314,8 +342,11 @@
 		writeError(writer, status, code, "not executed")
 		return
 	}
-	defer engine.finish(completion.Model)
-	run := &engineRun{engine: engine, incarnation: incarnation, fault: fault, completion: completion, writer: writer, request: request}
+	run := &engineRun{
+		engine: engine, incarnation: incarnation, fault: fault, completion: completion, writer: writer, request: request, startedAt: time.Now(),
+	}
+	engine.track(run)
+	defer engine.finish(run)
 	run.serve(body)
 }
 
@@ -338,11 +369,26 @@
 	return engine.incarnation, engine.fault, 0, ""
 }
 
-func (engine *Engine) finish(model string) {
+// track adds a completion to the running ones.
+func (engine *Engine) track(run *engineRun) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.runs[run] = struct{}{}
+}
+
+// recordResponded records that the last byte of a completion's response is about to be written.
+func (engine *Engine) recordResponded(run *engineRun) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	run.respondedAt = time.Now()
+}
+
+func (engine *Engine) finish(run *engineRun) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	if _, found := engine.loaded[model]; found {
-		engine.loaded[model]--
+	delete(engine.runs, run)
+	if _, found := engine.loaded[run.completion.Model]; found {
+		engine.loaded[run.completion.Model]--
 	}
 	engine.stats.Running--
 }
@@ -371,6 +417,9 @@
 	completion  completionRequest
 	writer      http.ResponseWriter
 	request     *http.Request
+	startedAt   time.Time
+	// respondedAt is when the last byte of the response was about to be written, or zero.
+	respondedAt time.Time
 }
 
 type choice struct {
@@ -426,6 +475,7 @@
 // is truncated or the engine restarts, and counts a cancellation if the request is cancelled.
 func (run *engineRun) waitStep(position int) bool {
 	if run.fault.TruncateAfter > 0 && position >= run.fault.TruncateAfter {
+		run.engine.recordResponded(run)
 		dropConnection(run.writer)
 		return false
 	}
@@ -469,6 +519,7 @@
 		}
 		_ = controller.Flush()
 	}
+	run.engine.recordResponded(run)
 	_, _ = io.WriteString(run.writer, "data: [DONE]\n\n")
 	_ = controller.Flush()
 }
--- a/io/proc/faults_test.go
+++ b/io/proc/faults_test.go
@@ -122,6 +122,7 @@
 			for _, address := range fleet.engines {
 				stats := engineStats(t, address)
 				if stats.UnloadsWhileServing > 0 || stats.KeysSeen > 0 {
+					fleet.logOutput()
 					t.Fatalf("an engine reports a violation: %+v", stats)
 				}
 			}
--- a/io/proc/harness_test.go
+++ b/io/proc/harness_test.go
@@ -241,6 +241,16 @@
 	slotsPerEngine int
 }
 
+// logOutput logs the last lines that each daemon wrote.
+func (fleet *fleet) logOutput() {
+	for _, host := range fleet.hosts {
+		lines := host.outputLines()
+		for _, line := range lines[max(0, len(lines)-400):] {
+			fleet.t.Logf("%s: %s", host.name, line)
+		}
+	}
+}
+
 type fleetOptions struct {
 	hosts       int
 	engines     int
