Bytes without end from servers: bounded in bytes and in time on both faces

Cause: the parser of the standard library reads status lines, headers and informational responses of any size; the body of a refusal was read up to 256 KB or the request's deadline; an error body without end was passed on to the caller. Change: io/link fails a head beyond 64 KB, Discard reads a body that nobody needs for 100 ms at most, and an error response beyond the buffer counts as broken. Events are bounded by 256 KB. The own interface opens a connection for each request, as its servers do not identify their responses (a second copy of one would go to the next caller), and follows no redirects for orders either.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -271,9 +271,13 @@
 func NewHTTPClient(dialer *net.Dialer, connections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		Proxy: nil, DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: connections, IdleConnTimeout: idleConnTimeout,
+		MaxIdleConnsPerHost: connections, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
-// idleConnTimeout is how long an unused connection to the store or for orders is kept.
-const idleConnTimeout = 10 * time.Second
+const (
+	// idleConnTimeout is how long an unused connection to the store or for orders is kept.
+	idleConnTimeout = 10 * time.Second
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
+)
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,8 +26,23 @@
 	StatusTimeout = 2 * time.Second
 
 	maxStatusBytes = 4 << 20
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 )
 
+// NewHTTPClient returns an HTTP client for backend servers. It sends each request once, on a connection of its own: a
+// server may send a second copy of a response late, and its responses do not identify their requests. It follows no
+// redirects, which could send a request to an address that no backend server has.
+func NewHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			// A proxy could send a request to another server.
+			Proxy: nil, DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Status is the state that an engine reports.
 type Status struct {
 	Instances []string
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -15,7 +15,7 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	// maxResponseBytes bounds a response that is read completely before it is forwarded.
-	maxResponseBytes = 16 << 20
+	maxResponseBytes = 4 << 20
 )
 
 // forwardedHeaders are the only request headers of callers that are forwarded to backend servers.
--- a/io/gate/complete.go
+++ b/io/gate/complete.go
@@ -296,7 +296,7 @@
 		return refusal, false
 	}
 	completion.sentAt = time.Now()
-	result := completion.send(ctx, completion.gate.engineClient, "http://"+slot.Address()+completion.request.URL.Path, body)
+	result := completion.send(ctx, completion.gate.client, "http://"+slot.Address()+completion.request.URL.Path, body)
 	if result.err != nil {
 		return completion.handleSendError(slot, result)
 	}
@@ -353,7 +353,7 @@
 
 // instanceLost reports whether a server is unreachable or no longer holds the instance.
 func (completion *completion) instanceLost(slot *node.Slot) bool {
-	instances, err := engine.New(slot.Address(), completion.gate.engineClient).Instances(context.WithoutCancel(completion.request.Context()))
+	instances, err := engine.New(slot.Address(), completion.gate.client).Instances(context.WithoutCancel(completion.request.Context()))
 	if err != nil {
 		return true
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 	"lentilproxy/core/keys"
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/engine"
 	"lentilproxy/io/ledger"
 	"lentilproxy/io/node"
 
@@ -50,12 +51,11 @@
 	log      logr.Logger
 	metrics  tally.Scope
 	recorder lentilproxy.Recorder
-	// engineClient reuses connections. serviceClient opens one for each request, since those must not be sent twice.
-	engineClient  *http.Client
-	serviceClient *http.Client
-	mux           *http.ServeMux
-	stopping      atomic.Bool
-	inFlight      atomic.Int64
+	// client sends requests to backend servers.
+	client   *http.Client
+	mux      *http.ServeMux
+	stopping atomic.Bool
+	inFlight atomic.Int64
 }
 
 type nopRecorder struct{}
@@ -81,7 +81,7 @@
 func New(settings *setup.Settings, node *node.Node, ledger *ledger.Ledger, options ...Option) *Gate {
 	gate := &Gate{
 		settings: settings, node: node, ledger: ledger, log: logr.Discard(), metrics: tally.NoopScope, recorder: nopRecorder{},
-		engineClient: newClient(false, node.Fresh), serviceClient: newClient(true, node.Fresh), mux: http.NewServeMux(),
+		client: engine.NewHTTPClient(checkedDial(node.Fresh)), mux: http.NewServeMux(),
 	}
 	for _, option := range options {
 		option(gate)
@@ -94,27 +94,6 @@
 	return gate
 }
 
-// newClient returns a client for backend servers. It does not follow redirects, which could send a request to an address
-// that no backend server has, and a second time.
-func newClient(disableKeepAlives bool, fresh func(now time.Time) bool) *http.Client {
-	return &http.Client{
-		Transport:     newTransport(disableKeepAlives, fresh),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-func newTransport(disableKeepAlives bool, fresh func(now time.Time) bool) *http.Transport {
-	return &http.Transport{
-		DialContext:        checkedDial(fresh),
-		DisableKeepAlives:  disableKeepAlives,
-		DisableCompression: true,
-		// A proxy could send a request to another server.
-		Proxy:               nil,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     idleTimeout,
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (gate *Gate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	gate.mux.ServeHTTP(writer, request)
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -1,7 +1,11 @@
 package gate
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +16,7 @@
 
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/engine"
 )
 
 func testGate() *Gate {
@@ -59,15 +64,54 @@
 		http.Redirect(writer, request, "/elsewhere", http.StatusTemporaryRedirect)
 	}))
 	defer server.Close()
-	for _, disableKeepAlives := range []bool{false, true} {
-		hits = 0
-		call := &call{request: httptest.NewRequest(http.MethodGet, "/", http.NoBody)}
-		client := newClient(disableKeepAlives, func(time.Time) bool { return true })
-		result := call.send(t.Context(), client, server.URL+"/orders", nil)
+	call := &call{request: httptest.NewRequest(http.MethodGet, "/", http.NoBody)}
+	client := engine.NewHTTPClient(checkedDial(func(time.Time) bool { return true }))
+	result := call.send(t.Context(), client, server.URL+"/orders", nil)
+	is.NoErr(result.err)
+	_ = result.response.Body.Close()
+	is.Equal(result.response.StatusCode, http.StatusTemporaryRedirect)
+	is.Equal(hits, 1)
+}
+
+// A server sends a second copy of each response, late, when the next request may already be under way.
+func TestSecondCopyOfAResponseReachesNobody(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				last := ""
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					// The copy precedes the response to the next request on the connection.
+					_, _ = io.WriteString(conn, last)
+					last = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+					_, _ = io.WriteString(conn, last)
+				}
+			}()
+		}
+	}()
+	call := &call{request: httptest.NewRequest(http.MethodGet, "/", http.NoBody)}
+	client := engine.NewHTTPClient(checkedDial(func(time.Time) bool { return true }))
+	for number := range 5 {
+		path := fmt.Sprint("/", number)
+		result := call.send(t.Context(), client, "http://"+listener.Addr().String()+path, nil)
 		is.NoErr(result.err)
+		content, err := io.ReadAll(result.response.Body)
+		is.NoErr(err)
 		_ = result.response.Body.Close()
-		is.Equal(result.response.StatusCode, http.StatusTemporaryRedirect)
-		is.Equal(hits, 1)
+		is.Equal(string(content), path)
 	}
 }
 
--- a/io/gate/service.go
+++ b/io/gate/service.go
@@ -173,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(serviceCall.request.Context()), serviceCall.route.Timeout)
 	defer cancel()
 	serviceCall.sentAt = time.Now()
-	result := serviceCall.send(ctx, serviceCall.gate.serviceClient, "http://"+slot.Address()+serviceCall.path, serviceCall.body)
+	result := serviceCall.send(ctx, serviceCall.gate.client, "http://"+slot.Address()+serviceCall.path, serviceCall.body)
 	serviceCall.sent = serviceCall.sent || result.connected
 	if result.err != nil {
 		return response{}, serviceCall.handleExchangeError(ctx, slot, result.connected), result.connected
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxEventBytes bounds one server-sent event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 	// freshCheckInterval is how often a response that is held back checks whether the host is fresh again.
 	freshCheckInterval = 50 * time.Millisecond
 	// maxBufferedEvents bounds the events that are buffered while a stream is held back.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -18,13 +18,38 @@
 var (
 	errMismatch = errors.New("the response belongs to another request")
 	errEncoded  = errors.New("the response has a content encoding")
+	errHeadSize = errors.New("the head of the response is too long")
 )
 
+// unlimited is the limit of a limitedReader that reads to the end of its connection.
+const unlimited = -1
+
+// limitedReader reads from a connection and fails once it has read a number of bytes. The parser of the standard library
+// reads heads of any size.
+type limitedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (limitedReader *limitedReader) Read(buffer []byte) (int, error) {
+	if limitedReader.left == unlimited {
+		return limitedReader.reader.Read(buffer)
+	}
+	if limitedReader.left <= 0 {
+		return 0, errHeadSize
+	}
+	count, err := limitedReader.reader.Read(buffer[:min(int64(len(buffer)), limitedReader.left)])
+	limitedReader.left -= int64(count)
+	return count, err
+}
+
 // conn is a connection to a server, which serves one exchange at a time.
 type conn struct {
 	pool        *Pool
 	key         serverKey
 	raw         net.Conn
+	source      *limitedReader
 	reader      *bufio.Reader
 	idleTimeout time.Duration
 }
@@ -98,6 +123,8 @@
 
 // readHead reads the status line and headers of the next response that is not informational (1xx).
 func (response *Response) readHead(request *Request) error {
+	response.conn.source.left = maxHeadBytes
+	defer func() { response.conn.source.left = unlimited }()
 	for {
 		//nolint:bodyclose // Close closes or keeps the connection that the body is read from.
 		read, err := http.ReadResponse(response.conn.reader, &http.Request{Method: request.Method})
@@ -151,6 +178,15 @@
 	return count, err
 }
 
+// Discard reads a short body to its end, so that the connection can be kept.
+func (response *Response) Discard() {
+	_ = response.conn.raw.SetReadDeadline(time.Now().Add(discardTime))
+	_, err := io.Copy(io.Discard, io.LimitReader(response, maxDiscardBytes))
+	if err == nil {
+		_ = response.conn.raw.SetReadDeadline(time.Time{})
+	}
+}
+
 // Close ends the exchange. If the body was not read to its end, Close closes the connection, so that the server stops
 // working on the request.
 func (response *Response) Close() {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -34,6 +34,11 @@
 	idleMargin = 700 * time.Millisecond
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the status lines and headers of a response, including the informational ones before it.
+	maxHeadBytes = 64 << 10
+	// discardTime and maxDiscardBytes bound what is read of a body that nobody needs, so that its connection can be kept.
+	discardTime     = 100 * time.Millisecond
+	maxDiscardBytes = 4 << 10
 	// concurrentWriteBytes is the size from which a request is written while its response is read, since a server may
 	// respond before it has received the whole request.
 	concurrentWriteBytes = 8 << 10
@@ -238,7 +243,8 @@
 		pool.closeConn(conn)
 		return nil, err
 	}
-	conn.reader = bufio.NewReaderSize(raw, readBufferBytes)
+	conn.source = &limitedReader{reader: raw, left: unlimited}
+	conn.reader = bufio.NewReaderSize(conn.source, readBufferBytes)
 	pool.onOpen()
 	return conn, nil
 }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -310,3 +310,146 @@
 		t.Fatal("the connection is still open 1 s after the cancellation")
 	}
 }
+
+// endless writes a prefix and then the same content until the other end closes, and counts the bytes.
+func endless(conn net.Conn, prefix, content string, written *atomic.Int64) {
+	write(conn, prefix)
+	chunk := []byte(strings.Repeat(content, 1+4096/len(content)))
+	for {
+		count, err := conn.Write(chunk)
+		written.Add(int64(count))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Bytes that are no response may come without end. They are read up to a bound, and the connection is closed.
+func TestBytesWithoutEndCloseTheConnection(t *testing.T) {
+	// The buffers of both sockets hold bytes that the other side never reads.
+	const maxSocketBuffers = 8 << 20
+	chunked := "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, test := range map[string]struct {
+		prefix, content string
+		// complete is set if a complete response precedes the bytes.
+		complete bool
+	}{
+		"status line":             {"", "x", false},
+		"status line with digits": {"HTTP/1.1 200 ", "1", false},
+		"header":                  {"HTTP/1.1 200 OK\r\nX-Id: ", "a", false},
+		"many headers":            {"HTTP/1.1 200 OK\r\n", "A: b\r\n", false},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", false},
+		"other responses":         {"", okResponse("other", "bad"), false},
+		"other body":              {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x", false},
+		"chunk size":              {chunked, "0", false},
+		"chunk extension":         {chunked + "5;", "a", false},
+		"trailer":                 {chunked + "2\r\nok\r\n0\r\nA: ", "b", false},
+		"many trailers":           {chunked + "2\r\nok\r\n0\r\n", "A: b\r\n", false},
+		"longer than announced":   {okResponse("mine", "ok"), "x", true},
+		"empty lines":             {"", "\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			closed := make(chan struct{})
+			fakeServer := newFakeServer(t, func(conn net.Conn, number int, _ string) bool {
+				endless(conn, test.prefix, test.content, &written)
+				if number == 1 {
+					close(closed)
+				}
+				return false
+			})
+			pool := newPool(t)
+			startedAt := time.Now()
+			body, _, err := send(pool, fakeServer, "mine")
+			is.True(time.Since(startedAt) < time.Second)
+			if test.complete {
+				is.NoErr(err)
+				is.Equal(body, "ok")
+			} else {
+				is.True(err != nil)
+			}
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the connection stays open")
+			}
+			is.True(written.Load() < maxSocketBuffers)
+		})
+	}
+}
+
+// The rest of a short body is read, so that the connection is kept. Nobody waits for a longer or a slower one.
+func TestDiscardIsBounded(t *testing.T) {
+	for name, test := range map[string]struct {
+		body string
+		kept bool
+	}{
+		"complete": {okResponse("mine", "no"), true},
+		"slow":     {"HTTP/1.1 503 Busy\r\nX-Id: mine\r\nContent-Length: 20\r\n\r\nno", false},
+		"long":     {"HTTP/1.1 503 Busy\r\nX-Id: mine\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 100_000), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fakeServer := newFakeServer(t, func(conn net.Conn, _ int, _ string) bool {
+				write(conn, test.body)
+				return true
+			})
+			pool := newPool(t)
+			for range 2 {
+				response, err := pool.Do(t.Context(), spec.Server{ID: "s", Address: fakeServer.address}, &Request{
+					Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+				})
+				is.NoErr(err)
+				startedAt := time.Now()
+				response.Discard()
+				response.Close()
+				is.True(time.Since(startedAt) < 4*discardTime)
+			}
+			is.Equal(fakeServer.conns.Load() == 1, test.kept)
+		})
+	}
+}
+
+// FuzzResponse checks that any bytes lead to a response or an error, and that what follows a response reaches nobody.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(okResponse("mine", "ok")))
+	f.Add([]byte(okResponse("other", "bad") + okResponse("mine", "ok")))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okResponse("mine", "ok")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\nrest"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nuntil the end"))
+	f.Add([]byte("HTTP/1.1 200 OK\nX-Id: mine\nContent-Length: 2\n\nokmore"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		go func() {
+			_, _ = io.Copy(io.Discard, far)
+		}()
+		go func() {
+			_, _ = far.Write(content)
+			_ = far.Close()
+		}()
+		source := &limitedReader{reader: near, left: unlimited}
+		pool := &Pool{idle: map[serverKey][]idleConn{}, open: map[serverKey]int{}}
+		conn := &conn{pool: pool, raw: near, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout}
+		response := &Response{conn: conn, detach: func() bool { return true }}
+		err := response.exchange(&Request{
+			Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+			Matches: func(_ int, header http.Header) bool { return header.Get("X-Id") == "mine" },
+		})
+		if err != nil {
+			return
+		}
+		if response.Header().Get("X-Id") != "mine" {
+			t.Fatal("the response belongs to another request")
+		}
+		body, err := io.ReadAll(response)
+		if err == nil && len(body) > len(content) {
+			t.Fatalf("a body of %d bytes from %d bytes", len(body), len(content))
+		}
+		response.Close()
+		if conn.reader.Buffered() > 0 && len(pool.idle) > 0 {
+			t.Fatal("a connection with unread bytes was kept")
+		}
+	})
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 	"lentilproxy/core/conf"
 	"lentilproxy/core/fresh"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/engine"
 	"lentilproxy/io/loop"
 	"lentilproxy/io/peer"
 
@@ -89,7 +90,7 @@
 func New(settings *setup.Settings, table lentilproxy.Table, hostList lentilproxy.HostList, listener net.Listener, options ...Option) *Node {
 	node := &Node{
 		settings: settings, table: table, hostList: hostList, listener: listener,
-		log: logr.Discard(), metrics: tally.NoopScope, backends: &http.Client{},
+		log: logr.Discard(), metrics: tally.NoopScope, backends: engine.NewHTTPClient((&net.Dialer{Timeout: peer.DialTimeout}).DialContext),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, option := range options {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -272,7 +272,7 @@
 		}
 		scheduler.RecordFull(now, server.ID)
 	})
-	_, _ = readBody(response)
+	response.Discard()
 	return declined, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeBackendRefused, "the backend server has not run the request").WithRetryAfter(capacityRetryAfter)
 }
 
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -27,6 +27,9 @@
 // can be tried if it breaks off.
 func (call *call) relayResponse(server spec.Server, run *sched.Run, response *link.Response) (attemptResult, *refuse.Refusal) {
 	content, err := readBody(response)
+	if errors.Is(err, errResponseTooLong) && response.Status() >= http.StatusMultipleChoices {
+		return call.handleBadResponse(server, "the backend server's error response has no end")
+	}
 	if errors.Is(err, errResponseTooLong) {
 		return call.relayLongResponse(server, run, response, content)
 	}
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -15,7 +15,7 @@
 )
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 var (
 	errEventTooLong = errors.New("an event of the stream is too long")
