Spread prompts over time: a pacer for each server that runs a model

A server reads prompts between the tokens of its streams, and three or four at once break every stream on it.

Change: one host, the first by rendezvous hashing, paces each server. It bounds the unread prompt tokens of all hosts, earliest due time first. The bound falls when hosts see pauses near the objective although it was kept, and rises while requests wait. A prompt waits for half of its objective at most. Hosts that do not respond are avoided; without a pacer prompts are sent at once.

--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -148,6 +148,8 @@
 	workspaces map[string]Workspace
 	keys       map[KeyHash]string
 	limits     Limits
+	// gapObjectives maps services to the shortest gap objective of the routes to them.
+	gapObjectives map[string]time.Duration
 }
 
 // Resources are the resources that make up a configuration.
@@ -166,9 +168,15 @@
 	config := &Config{
 		version: resources.Version, routes: map[string][]Route{}, services: map[string]Service{},
 		workspaces: map[string]Workspace{}, keys: resources.Keys, limits: resources.Limits,
+		gapObjectives: map[string]time.Duration{},
 	}
 	for _, route := range resources.Routes {
 		config.routes[route.Host] = append(config.routes[route.Host], route)
+		for _, target := range route.Targets {
+			if shortest, found := config.gapObjectives[target.Service]; route.GapObjective > 0 && (!found || route.GapObjective < shortest) {
+				config.gapObjectives[target.Service] = route.GapObjective
+			}
+		}
 	}
 	for _, routes := range config.routes {
 		// Match returns the first match, which has to be the longest prefix.
@@ -209,6 +217,11 @@
 	return service, found
 }
 
+// GapObjective returns the shortest gap objective of the routes to a service, or 0 if there is none.
+func (config *Config) GapObjective(service string) time.Duration {
+	return config.gapObjectives[service]
+}
+
 // Workspaces returns all workspaces by name.
 func (config *Config) Workspaces() map[string]Workspace { return config.workspaces }
 
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -38,6 +38,12 @@
 		return respond(params, control.coordinator.traffic.loans.AcceptReturns)
 	case methodCrash:
 		return respond(params, control.coordinator.traffic.handleCrash)
+	case methodPace:
+		return respond(params, func(params paceParams) paceResult { return control.coordinator.traffic.pacers.handlePace(ctx, params) })
+	case methodRead:
+		return respond(params, control.coordinator.traffic.pacers.handleRead)
+	case methodPause:
+		return respond(params, control.coordinator.traffic.pacers.handlePause)
 	default:
 		return nil, oops.Code("unknown_method").Errorf("unknown method %q", method)
 	}
--- /dev/null
+++ b/io/coord/pace.go
@@ -0,0 +1,330 @@
+package coord
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilproxy/core/lease"
+	"lentilproxy/core/pace"
+	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
+	"lentilproxy/io/clock"
+)
+
+const (
+	// paceCallMargin is how much longer a host waits for a pacer than the pacer may hold a request back.
+	paceCallMargin = 100 * time.Millisecond
+	// pacerAvoidance is how long a host does not use the pacers of a host that has not responded.
+	pacerAvoidance = 2 * time.Second
+	// pauseReportInterval is the least time between two reports of pauses on one server.
+	pauseReportInterval = 250 * time.Millisecond
+	// minReportedPause is the fraction of the gap objective from which on a pause is reported.
+	minReportedPause = 0.75
+)
+
+// Methods of pacers.
+const (
+	methodPace  = "fleet.pace"
+	methodRead  = "fleet.read"
+	methodPause = "fleet.pause"
+)
+
+// paceParams asks the pacer of a server when a prompt may be sent. All times are in milliseconds.
+type paceParams struct {
+	Server        string `json:"server"`
+	StartedMillis int64  `json:"born"`
+	Tokens        int64  `json:"tokens"`
+	// MaxWaitMS is how long the request may be held back, and DueMS the time until it should have its first event.
+	MaxWaitMS int64 `json:"max_wait_ms"`
+	DueMS     int64 `json:"due_ms"`
+	// ObjectiveMS is the objective for the pauses between events of streams on the server.
+	ObjectiveMS int64 `json:"objective_ms"`
+}
+
+type paceResult struct {
+	Ticket int64 `json:"ticket"`
+}
+
+// readParams reports that the prompt of a ticket has been read, or will not be.
+type readParams struct {
+	Server        string `json:"server"`
+	StartedMillis int64  `json:"born"`
+	Ticket        int64  `json:"ticket"`
+}
+
+// pauseParams reports a pause between two events of a stream on a server.
+type pauseParams struct {
+	Server        string `json:"server"`
+	StartedMillis int64  `json:"born"`
+	PauseMS       int64  `json:"pause_ms"`
+}
+
+// pacers holds the pacers of the servers for which this host is responsible, and the hosts to ask for the others.
+//
+// The host that paces a server is the first one by rendezvous hashing, so no agreement is needed. If hosts differ in
+// their views for a while, more prompts are sent at once than the bound allows, and nothing else happens.
+type pacers struct {
+	mutex      sync.Mutex
+	servers    map[spec.Incarnation]*serverPacer
+	lastTicket int64
+	// hosts are the hosts that may pace servers, with their addresses; that of this host is empty.
+	hosts map[string]string
+	// preferred caches the host of each server.
+	preferred map[string]string
+	// avoidedUntil maps hosts that did not respond to the time until which they are not asked.
+	avoidedUntil map[string]time.Time
+	// reportedAt is when a pause on each server was last reported.
+	reportedAt map[string]time.Time
+}
+
+type serverPacer struct {
+	pacer *pace.Pacer
+	// granted maps tickets of waiting requests to channels that are closed when they may be sent.
+	granted map[int64]chan struct{}
+}
+
+func newPacers() *pacers {
+	return &pacers{
+		servers: map[spec.Incarnation]*serverPacer{}, hosts: map[string]string{}, preferred: map[string]string{},
+		avoidedUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{},
+	}
+}
+
+// setHosts replaces the hosts that may pace servers.
+func (pacers *pacers) setHosts(hosts map[string]string) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	pacers.hosts = hosts
+	clear(pacers.preferred)
+}
+
+// retain drops the state of servers that are not registered.
+func (pacers *pacers) retain(servers map[string]spec.Server) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	for incarnation, server := range pacers.servers {
+		if known, found := servers[incarnation.ID]; (!found || known.Incarnation() != incarnation) && server.pacer.Idle() {
+			delete(pacers.servers, incarnation)
+		}
+	}
+	for name := range pacers.reportedAt {
+		if _, found := servers[name]; !found {
+			delete(pacers.reportedAt, name)
+		}
+	}
+}
+
+// hostFor returns the host that paces a server, and its address. The address is empty for this host, and found is false
+// if there is no host to ask.
+func (pacers *pacers) hostFor(now time.Time, server string) (name, address string, found bool) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	for host, until := range pacers.avoidedUntil {
+		if !now.Before(until) {
+			delete(pacers.avoidedUntil, host)
+			clear(pacers.preferred)
+		}
+	}
+	name, known := pacers.preferred[server]
+	if !known {
+		candidates := make([]string, 0, len(pacers.hosts))
+		for _, host := range value.Sorted(pacers.hosts) {
+			if _, avoided := pacers.avoidedUntil[host]; !avoided {
+				candidates = append(candidates, host)
+			}
+		}
+		name = lease.Preferred(server, candidates)
+		pacers.preferred[server] = name
+	}
+	address, found = pacers.hosts[name]
+	return name, address, found
+}
+
+// avoid stops asking a host for a while.
+func (pacers *pacers) avoid(now time.Time, host string) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	pacers.avoidedUntil[host] = now.Add(pacerAvoidance)
+	clear(pacers.preferred)
+}
+
+// handlePace handles a request to send a prompt. It returns once the prompt may be sent, or can no longer wait.
+func (pacers *pacers) handlePace(ctx context.Context, params paceParams) paceResult {
+	ticket, granted := pacers.add(clock.Now(), params)
+	if granted == nil {
+		return paceResult{Ticket: ticket}
+	}
+	timer := time.NewTimer(time.Duration(params.MaxWaitMS) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-granted:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	pacers.update(params.Server, params.StartedMillis, func(now time.Time, server *serverPacer) {
+		server.pacer.Force(now, ticket)
+		delete(server.granted, ticket)
+	})
+	return paceResult{Ticket: ticket}
+}
+
+// add adds a request to a pacer. The channel is nil if the prompt may be sent at once.
+func (pacers *pacers) add(now time.Time, params paceParams) (int64, <-chan struct{}) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	incarnation := spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}
+	server := pacers.servers[incarnation]
+	if server == nil {
+		server = &serverPacer{pacer: pace.New(now, time.Duration(params.ObjectiveMS)*time.Millisecond), granted: map[int64]chan struct{}{}}
+		pacers.servers[incarnation] = server
+	}
+	pacers.lastTicket++
+	ticket, granted := pacers.lastTicket, make(chan struct{})
+	server.granted[ticket] = granted
+	server.pacer.Add(pace.Request{ID: ticket, Tokens: params.Tokens, Due: now.Add(time.Duration(params.DueMS) * time.Millisecond)})
+	server.dispatch(now)
+	if _, waits := server.granted[ticket]; !waits {
+		return ticket, nil
+	}
+	return ticket, granted
+}
+
+// dispatch grants the requests that may be sent now.
+func (server *serverPacer) dispatch(now time.Time) {
+	for _, ticket := range server.pacer.Next(now) {
+		if granted, found := server.granted[ticket]; found {
+			close(granted)
+			delete(server.granted, ticket)
+		}
+	}
+}
+
+// update changes the state of a server's pacer, if there is one, and grants the requests that may then be sent.
+func (pacers *pacers) update(id string, startedMillis int64, change func(now time.Time, server *serverPacer)) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	server := pacers.servers[spec.Incarnation{ID: id, StartedMillis: startedMillis}]
+	if server == nil {
+		return
+	}
+	now := clock.Now()
+	change(now, server)
+	server.dispatch(now)
+}
+
+func (pacers *pacers) handleRead(params readParams) bool {
+	pacers.update(params.Server, params.StartedMillis, func(_ time.Time, server *serverPacer) { server.pacer.Release(params.Ticket) })
+	return true
+}
+
+func (pacers *pacers) handlePause(params pauseParams) bool {
+	pacers.update(params.Server, params.StartedMillis, func(now time.Time, server *serverPacer) {
+		server.pacer.RecordPause(now, time.Duration(params.PauseMS)*time.Millisecond)
+	})
+	return true
+}
+
+// reportDue reports whether a pause on a server should be reported now, and records it.
+func (pacers *pacers) reportDue(now time.Time, server string) bool {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	if now.Sub(pacers.reportedAt[server]) < pauseReportInterval {
+		return false
+	}
+	pacers.reportedAt[server] = now
+	return true
+}
+
+// Prompt is a prompt that may be sent to a server.
+type Prompt struct {
+	coordinator *Coordinator
+	server      spec.Server
+	address     string
+	ticket      int64
+	once        sync.Once
+}
+
+// Pace waits until a prompt may be sent to a server, but no longer than maxWait. Due is the time until the request should
+// have its first event, and objective that for the pauses between events. The prompt has to be ended; it may be nil.
+func (coordinator *Coordinator) Pace(ctx context.Context, server spec.Server, tokens int64, maxWait, due, objective time.Duration) *Prompt {
+	pacers := coordinator.traffic.pacers
+	host, address, found := pacers.hostFor(clock.Now(), server.ID)
+	if !found {
+		return nil
+	}
+	params := paceParams{
+		Server: server.ID, StartedMillis: server.StartedMillis, Tokens: tokens, MaxWaitMS: max(0, maxWait.Milliseconds()),
+		DueMS: due.Milliseconds(), ObjectiveMS: objective.Milliseconds(),
+	}
+	prompt := &Prompt{coordinator: coordinator, server: server, address: address}
+	if address == "" {
+		prompt.ticket = pacers.handlePace(ctx, params).Ticket
+		return prompt
+	}
+	granted := make(chan error, 1)
+	go func() {
+		// The caller's context must not end the call, since the peer's connection is closed if a call times out.
+		callCtx, cancel := context.WithTimeout(coordinator.ctx, maxWait+paceCallMargin)
+		defer cancel()
+		var result paceResult
+		err := coordinator.peers.Call(callCtx, address, methodPace, params, &result)
+		prompt.ticket = result.Ticket
+		granted <- err
+	}()
+	select {
+	case err := <-granted:
+		if err != nil {
+			coordinator.metrics.Counter("pacers_unreachable").Inc(1)
+			pacers.avoid(clock.Now(), host)
+			return nil
+		}
+		return prompt
+	case <-ctx.Done():
+		go func() {
+			if <-granted == nil {
+				prompt.End()
+			}
+		}()
+		return nil
+	}
+}
+
+// End records that the prompt has been read or will not be. Only the first call counts.
+func (prompt *Prompt) End() {
+	if prompt == nil {
+		return
+	}
+	prompt.once.Do(func() {
+		params := readParams{Server: prompt.server.ID, StartedMillis: prompt.server.StartedMillis, Ticket: prompt.ticket}
+		prompt.coordinator.tellPacer(prompt.address, methodRead, params, func(pacers *pacers) { pacers.handleRead(params) })
+	})
+}
+
+// tellPacer calls a method of a host that paces a server, or the local handler if the address is empty, without waiting.
+func (coordinator *Coordinator) tellPacer(address, method string, params any, local func(pacers *pacers)) {
+	if address == "" {
+		local(coordinator.traffic.pacers)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(coordinator.ctx, callTimeout)
+		defer cancel()
+		if err := coordinator.peers.Call(ctx, address, method, params, nil); err != nil {
+			coordinator.metrics.Counter("pacers_unreachable").Inc(1)
+		}
+	}()
+}
+
+// RecordPause records a pause between two events of a stream on a server.
+func (coordinator *Coordinator) RecordPause(now time.Time, server spec.Server, pause, objective time.Duration) {
+	if float64(pause) < minReportedPause*float64(objective) || !coordinator.traffic.pacers.reportDue(now, server.ID) {
+		return
+	}
+	_, address, found := coordinator.traffic.pacers.hostFor(now, server.ID)
+	if !found {
+		return
+	}
+	params := pauseParams{Server: server.ID, StartedMillis: server.StartedMillis, PauseMS: pause.Milliseconds()}
+	coordinator.tellPacer(address, methodPause, params, func(pacers *pacers) { pacers.handlePause(params) })
+}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -51,6 +51,8 @@
 	// overdraft is the number of tokens that each workspace may charge beyond its limit on this host.
 	overdraft float64
 	bounds    setup.Bounds
+	// pacers has a mutex of its own.
+	pacers *pacers
 }
 
 // holder is the lease holder of a server. own is set if it is this host.
@@ -66,7 +68,7 @@
 		crashes:  crash.NewTracker(), budgets: map[string]*retry.Budget{},
 		loads: map[loadKey]*pendingLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		lenders: lenders{addresses: map[string]string{}}, limits: map[string]limit.Entitlement{},
-		bounds: coordinator.settings.Bounds,
+		bounds: coordinator.settings.Bounds, pacers: newPacers(),
 	}
 	limiter := limit.New(coordinator.settings.Host.Name, limit.WithOpenTime(clock.Now()))
 	traffic.loans = loans.New(coordinator.ctx, coordinator.settings.Host.Name, limiter, coordinator.peers.Call, borrowWait,
@@ -80,6 +82,7 @@
 	defer traffic.mutex.Unlock()
 	traffic.scheduler.UpdateServers(view.Servers)
 	traffic.configureLimits(now, view)
+	traffic.pacers.retain(view.Servers)
 }
 
 // updateHosts applies the hosts that share limits, and the lease holders of servers.
@@ -95,6 +98,11 @@
 		}
 	}
 	traffic.lenders = known
+	pacerHosts := map[string]string{self: ""}
+	for name, address := range known.addresses {
+		pacerHosts[name] = address
+	}
+	traffic.pacers.setHosts(pacerHosts)
 	traffic.scheduler.RetainPeers(now, value.NewSet(known.names...))
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -28,6 +28,10 @@
 	serverWaitFraction = 0.15
 	// firstEventMargin is the time that a server needs from the end of an adapter's load to the first event.
 	firstEventMargin = 150 * time.Millisecond
+	// maxPaceFraction is the fraction of its objective until which a request may be held back so that prompts are spread,
+	// and minPaceWait the time for which any request may be.
+	maxPaceFraction = 0.5
+	minPaceWait     = 50 * time.Millisecond
 	// minRemaining is the least remaining time with which a request is still sent.
 	minRemaining = 5 * time.Millisecond
 	// maxBufferedBytes bounds a response that is read to its end before it is passed on.
@@ -191,6 +195,11 @@
 	traffic := call.service.coordinator.Traffic()
 	run := traffic.Start(clock.Now(), server, call.job())
 	defer traffic.End(run)
+	prompt := call.pace(server)
+	defer prompt.End()
+	if !call.mayStillSend(server) {
+		return unsent, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "the backend server is leaving").WithRetryAfter(capacityRetryAfter)
+	}
 	ctx, cancel := context.WithCancel(call.ctx)
 	defer cancel()
 	call.sentAt = clock.Now()
@@ -208,12 +217,37 @@
 	case response.Status() < http.StatusMultipleChoices && !info.Signed:
 		return call.handleBadResponse(server, "the backend server's answer is not signed")
 	case call.route.Kind == spec.Streaming && response.Status() == http.StatusOK:
-		return call.relayStream(server, run, response)
+		return call.relayStream(server, run, prompt, response)
 	default:
 		return call.relayResponse(server, run, response)
 	}
 }
 
+// pace waits until the prompt may be sent without long pauses for the server's streams. The request is sent within a
+// fraction of its objective in any case.
+func (call *call) pace(server spec.Server) *coord.Prompt {
+	objective := call.view.Config.GapObjective(call.target.Name)
+	if call.target.Engine == nil || objective <= 0 || call.info.PromptTokens <= 0 {
+		return nil
+	}
+	due := call.receivedAt.Add(call.route.Objective).Sub(clock.Now())
+	maxWait := max(minPaceWait, time.Duration(maxPaceFraction*float64(call.route.Objective))-clock.Now().Sub(call.receivedAt))
+	startedAt := clock.Now()
+	prompt := call.service.coordinator.Pace(call.ctx, server, call.info.PromptTokens, maxWait, due, objective)
+	call.paceTime += clock.Now().Sub(startedAt)
+	return prompt
+}
+
+// mayStillSend reports whether the request may still be sent to a server that was chosen a while ago.
+func (call *call) mayStillSend(server spec.Server) bool {
+	if call.paceTime == 0 {
+		return true
+	}
+	call.view = call.service.coordinator.View()
+	current, found := call.view.Servers[server.ID]
+	return found && !current.Draining && current.Incarnation() == server.Incarnation() && call.ctx.Err() == nil
+}
+
 // outgoing returns the request for a server. If lastEvent is not empty, the request resumes the stream after that
 // event.
 func (call *call) outgoing(server spec.Server, lastEvent string) *link.Request {
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -63,7 +63,7 @@
 	fields := []any{
 		"request", call.info.ID, "outcome", call.outcome, "status", call.status, "ms", now.Sub(call.receivedAt).Milliseconds(),
 		"config", call.view.Config.Version(), "config_age_ms", operatorsAge.Milliseconds(), "servers_age_ms", serversAge.Milliseconds(),
-		"servers", call.servers, "load_ms", call.loadTime.Milliseconds(),
+		"servers", call.servers, "load_ms", call.loadTime.Milliseconds(), "paced_ms", call.paceTime.Milliseconds(),
 	}
 	if call.route != nil {
 		fields = append(fields, "route", call.route.Name, "workspace", call.workspace.Name, "left_ms", call.deadline.Sub(now).Milliseconds())
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -112,6 +112,8 @@
 	sentAt       time.Time
 	firstEventAt time.Time
 	loadTime     time.Duration
+	// paceTime is how long the request was held back so that prompts are spread.
+	paceTime time.Duration
 	// fallback is a server's error response, which is passed on unless another server responds.
 	fallback *fallbackResponse
 	// lastEvent is the ID of the last event that was passed on. resumed reports whether the current attempt resumes the
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/io/clock"
+	"lentilproxy/io/coord"
 	"lentilproxy/io/link"
 )
 
@@ -78,13 +80,21 @@
 }
 
 // relayStream relays a stream in complete events. A broken stream is resumed on another server if the route allows it.
-func (call *call) relayStream(server spec.Server, run *sched.Run, response *link.Response) (attemptResult, *refuse.Refusal) {
+func (call *call) relayStream(server spec.Server, run *sched.Run, prompt *coord.Prompt, response *link.Response) (attemptResult, *refuse.Refusal) {
 	eventReader := newEventReader(response)
+	objective := call.view.Config.GapObjective(call.target.Name)
+	var lastAt time.Time
 	for {
 		content, err := eventReader.next()
 		switch {
 		case err == nil:
-			call.service.coordinator.Traffic().RecordFirstEvent(clock.Now(), run)
+			now := clock.Now()
+			call.service.coordinator.Traffic().RecordFirstEvent(now, run)
+			prompt.End()
+			if !lastAt.IsZero() && objective > 0 {
+				call.service.coordinator.RecordPause(now, server, now.Sub(lastAt), objective)
+			}
+			lastAt = now
 			if !call.relayEvents(response, content) {
 				return call.handleCallerGone()
 			}
