front: a planned stop answers requests that have just arrived

Cause: StopAccepting closed the listener, which resets the connections in its queue, and then all connections of which no byte of the next request had been read, though the request may have arrived. Under load both are common. Change: the queue is accepted first, for a second at most; a connection with unread bytes is served, and a new one may send its first request for half a second. The daemon waits for connections instead of requests. A body is read as it arrives instead of into a buffer of its announced size. TestStopAnswersWaitingConnections, TestStopServesArrivedRequests and TestAnnouncedBodiesHoldNoMemory fail without it.

--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -132,7 +132,7 @@
 		limit := startedAt.Add(hosted.settings.Bounds.StopGrace - stopMargin)
 		time.Sleep(min(balancerDetectionTime, time.Until(limit)))
 		hosted.front.StopAccepting()
-		for hosted.front.Active() > 0 && time.Now().Before(limit) {
+		for hosted.front.Open() > 0 && time.Now().Before(limit) {
 			time.Sleep(drainPollInterval)
 		}
 		cut := hosted.front.Active()
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -14,11 +14,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"lentilproxy/core/spec"
 
 	"golang.org/x/net/http/httpguts"
+	"golang.org/x/sys/unix"
 )
 
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
@@ -32,8 +34,10 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	mutex  sync.Mutex
-	// idle is set while no byte of the next request has arrived.
+	// idle is set while no byte of the next request has been read.
 	idle bool
+	// served is set once a request has been handled.
+	served bool
 	// closed is set once closeIdle has closed the connection.
 	closed bool
 }
@@ -59,34 +63,70 @@
 
 // awaitRequest waits for the first byte of a request. It reports whether one arrived before the idle timeout.
 func (conn *conn) awaitRequest(idle time.Duration) bool {
-	if !conn.setIdle(true) {
-		return false
-	}
 	if conn.reader.Buffered() == 0 {
-		_ = conn.raw.SetReadDeadline(time.Now().Add(idle))
+		if !conn.beginIdle(idle) {
+			return false
+		}
 		if _, err := conn.reader.Peek(1); err != nil {
 			return false
 		}
 	}
-	return conn.setIdle(false)
+	return conn.endIdle()
+}
+
+// beginIdle records that the connection waits for a request. It returns false if the connection has been closed.
+func (conn *conn) beginIdle(timeout time.Duration) bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.idle = true
+	if conn.server.stopped.Load() {
+		timeout = min(timeout, stopLinger)
+	}
+	_ = conn.raw.SetReadDeadline(time.Now().Add(timeout))
+	return !conn.closed
 }
 
-// setIdle records whether the connection is idle. It returns false if the connection has been closed.
-func (conn *conn) setIdle(idle bool) bool {
+// endIdle records that the connection no longer waits. It returns false if the connection has been closed.
+func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.idle = idle
+	conn.idle = false
 	return !conn.closed
 }
 
-// closeIdle closes the connection if it is idle.
+// closeIdle closes the connection if it is idle. A new connection is kept for stopLinger, since its first request may
+// be on the way, and so is one whose next request has arrived and has not been read yet.
 func (conn *conn) closeIdle() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.idle {
-		conn.closed = true
-		_ = conn.raw.Close()
+	if !conn.idle {
+		return
+	}
+	if !conn.served || conn.hasUnread() {
+		_ = conn.raw.SetReadDeadline(time.Now().Add(stopLinger))
+		return
 	}
+	conn.closed = true
+	_ = conn.raw.Close()
+}
+
+// hasUnread reports whether bytes have arrived that have not been read.
+func (conn *conn) hasUnread() bool {
+	socket, isSocket := conn.raw.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		count, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = peekErr == nil && count > 0
+	})
+	return err == nil && unread
 }
 
 // readRequest reads one complete request. A status other than 0 means that the request is rejected. If there is neither
@@ -177,8 +217,10 @@
 		case size > limit:
 			return nil, http.StatusRequestEntityTooLarge
 		}
-		body = make([]byte, size)
-		_, err = io.ReadFull(conn.reader, body)
+		body, err = io.ReadAll(io.LimitReader(conn.reader, size))
+		if err == nil && int64(len(body)) < size {
+			err = io.ErrUnexpectedEOF
+		}
 	} else if header.Get("Transfer-Encoding") != "" {
 		body, err = conn.readChunks(limit)
 	}
@@ -234,6 +276,7 @@
 		}
 	}()
 	conn.server.handler(ctx, exchange)
+	conn.setServed()
 	if !exchange.complete || exchange.lastResponse || conn.server.draining.Load() {
 		// A response that began before the drain has no Connection: close header, so the drain is checked again here.
 		return false
@@ -243,6 +286,12 @@
 	return !exchange.disconnected.Load()
 }
 
+func (conn *conn) setServed() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.served = true
+}
+
 // reject responds to a request that could not be read. The connection must not be used afterwards.
 func (conn *conn) reject(status int) {
 	exchange := &Exchange{conn: conn, close: true}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -10,11 +10,15 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lentilproxy/core/spec"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -41,13 +45,17 @@
 	listener net.Listener
 	handler  Handler
 	limits   func() spec.Limits
-	// draining is set if connections are to be closed after their next response.
+	// draining is set if connections are to be closed after their next response, and stopped once no further ones are
+	// accepted.
 	draining atomic.Bool
-	mutex    sync.Mutex
-	conns    map[*conn]struct{}
-	closed   bool
-	active   atomic.Int64
-	done     chan struct{}
+	stopped  atomic.Bool
+	// acceptUntil is the time in nanoseconds until which a server that stops accepts connections that wait.
+	acceptUntil atomic.Int64
+	mutex       sync.Mutex
+	conns       map[*conn]struct{}
+	closed      bool
+	active      atomic.Int64
+	done        chan struct{}
 }
 
 // New starts to serve a listener. The function limits is called for every request.
@@ -57,7 +65,11 @@
 		defer close(server.done)
 		for {
 			raw, err := listener.Accept()
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().UnixNano() < server.acceptUntil.Load() && hasPending(listener) {
+				setAcceptDeadline(listener)
+				continue
+			}
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
 			if err != nil {
@@ -71,6 +83,40 @@
 	return server
 }
 
+// setAcceptDeadline limits the time for which a listener accepts connections. It returns false if it cannot be limited.
+func setAcceptDeadline(listener net.Listener) bool {
+	limited, hasDeadline := listener.(interface{ SetDeadline(at time.Time) error })
+	return hasDeadline && limited.SetDeadline(time.Now().Add(acceptLinger)) == nil
+}
+
+// hasPending reports whether connections wait in the queue of a listener. A process that was paused may find its deadline
+// over and the queue full.
+func hasPending(listener net.Listener) bool {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(descriptor uintptr) {
+		count, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		pending = pollErr == nil && count > 0
+	})
+	return err == nil && pending
+}
+
+const (
+	// acceptLinger is how long connections are still accepted once the server stops.
+	acceptLinger = 20 * time.Millisecond
+	// maxAcceptTime bounds the time for which a server that stops accepts connections from its listener's queue.
+	maxAcceptTime = time.Second
+	// stopLinger is how long a new connection may take to send its first request once the server has stopped to accept.
+	stopLinger = 500 * time.Millisecond
+)
+
 // acceptRetryDelay is the delay before the next attempt to accept a connection after a failed one.
 const acceptRetryDelay = 20 * time.Millisecond
 
@@ -104,9 +150,22 @@
 // Drain makes the server close each connection after its next response.
 func (server *Server) Drain() { server.draining.Store(true) }
 
-// StopAccepting drains the server and closes the listener and all idle connections.
+// Open returns the number of open connections.
+func (server *Server) Open() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.conns)
+}
+
+// StopAccepting drains the server, and closes the listener and the idle connections. Connections that wait in the
+// listener's queue are accepted first.
 func (server *Server) StopAccepting() {
 	server.Drain()
+	server.stopped.Store(true)
+	server.acceptUntil.Store(time.Now().Add(maxAcceptTime).UnixNano())
+	if setAcceptDeadline(server.listener) {
+		<-server.done
+	}
 	_ = server.listener.Close()
 	<-server.done
 	server.mutex.Lock()
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -262,6 +263,111 @@
 	is.True(err != nil)
 }
 
+// slowListener accepts its first connection late, as a process under load does.
+type slowListener struct {
+	*net.TCPListener
+	once  sync.Once
+	begin <-chan struct{}
+	pause time.Duration
+}
+
+// Accept implements net.Listener.
+func (slowListener *slowListener) Accept() (net.Conn, error) {
+	slowListener.once.Do(func() {
+		<-slowListener.begin
+		time.Sleep(slowListener.pause)
+	})
+	return slowListener.TCPListener.Accept()
+}
+
+// Callers have connected and sent their requests, but the server has not accepted the connections when it stops.
+func TestStopAnswersWaitingConnections(t *testing.T) {
+	const callers = 50
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	begin := make(chan struct{})
+	slow := &slowListener{TCPListener: listener.(*net.TCPListener), begin: begin, pause: 3 * acceptLinger}
+	server := New(slow, func() spec.Limits { return testLimits }, (&recorder{}).handle)
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		_, _ = io.WriteString(conn, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\n")
+		conns = append(conns, conn)
+	}
+	close(begin)
+	server.StopAccepting()
+	for _, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.True(response.Close)
+		_ = conn.Close()
+	}
+	for deadline := time.Now().Add(2 * time.Second); server.Open() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+	server.Close()
+}
+
+// A request has arrived on a kept connection, and the server stops before it has read it.
+func TestStopServesArrivedRequests(t *testing.T) {
+	for name, served := range map[string]bool{"first request": false, "further request": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = caller.Close() }()
+			raw, err := listener.Accept()
+			is.NoErr(err)
+			server := &Server{handler: (&recorder{}).handle, limits: func() spec.Limits { return testLimits }}
+			conn := &conn{server: server, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idle: true, served: served}
+			_, _ = io.WriteString(caller, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\n")
+			for !conn.hasUnread() {
+				time.Sleep(time.Millisecond)
+			}
+			server.Drain()
+			server.stopped.Store(true)
+			conn.closeIdle()
+			conn.serve()
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			is.NoErr(err)
+			_ = response.Body.Close()
+			is.Equal(response.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// A connection that announces a large body and sends none holds no memory for it.
+func TestAnnouncedBodiesHoldNoMemory(t *testing.T) {
+	is := is.New(t)
+	_, address := newServer(t, &recorder{})
+	allocated := func() uint64 {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.TotalAlloc
+	}
+	before := allocated()
+	var conns []net.Conn
+	for range 100 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, _ = io.WriteString(conn, "POST /1/ HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n")
+		conns = append(conns, conn)
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.True(allocated()-before < 100*(64<<10))
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
 // A caller must be able to detect that a response was aborted.
 func TestAbortedResponseIsIncomplete(t *testing.T) {
 	is := is.New(t)
