--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -130,38 +130,54 @@
 func (registry *Registry) Observe(sentAt, now time.Time, rows []lentilproxy.Row) {
 	hosts, holders, former := map[string]observedHost{}, map[string]observedHolder{}, map[string]observedFormer{}
 	for _, row := range rows {
-		if name, found := strings.CutPrefix(row.Key, prefixFormer); found {
-			observed := observedFormer{version: row.Version, since: now}
-			if known, exists := registry.former[name]; exists && known.version == row.Version {
-				observed.since = known.since
-			}
-			former[name] = observed
-		}
 		if name, found := strings.CutPrefix(row.Key, prefixHost); found {
-			observed := observedHost{version: row.Version, since: now}
-			if json.Unmarshal(row.Value, &observed.host) != nil || observed.host.Name != name {
-				continue
+			if observed, valid := registry.observeHost(now, name, row); valid {
+				hosts[name] = observed
 			}
-			if known, exists := registry.hosts[name]; exists && known.version == row.Version {
-				observed.since = known.since
-			}
-			hosts[name] = observed
 		}
 		if server, found := strings.CutPrefix(row.Key, prefixHolder); found {
-			observed := observedHolder{version: row.Version, since: now}
-			if json.Unmarshal(row.Value, &observed.row) != nil {
-				continue
-			}
-			if known, exists := registry.holders[server]; exists && known.version == row.Version {
-				observed.since = known.since
+			if observed, valid := registry.observeHolder(now, server, row); valid {
+				holders[server] = observed
 			}
-			holders[server] = observed
+		}
+		if name, found := strings.CutPrefix(row.Key, prefixFormer); found {
+			former[name] = registry.observeFormer(now, name, row)
 		}
 	}
 	registry.hosts, registry.holders, registry.former, registry.scannedAt = hosts, holders, former, sentAt
 	registry.reconcile()
 }
 
+// observeHost returns the row of a host and since when it has been unchanged. It is not valid if it cannot be read.
+func (registry *Registry) observeHost(now time.Time, name string, row lentilproxy.Row) (observed observedHost, valid bool) {
+	observed = observedHost{version: row.Version, since: now}
+	if json.Unmarshal(row.Value, &observed.host) != nil || observed.host.Name != name {
+		return observed, false
+	}
+	if known, exists := registry.hosts[name]; exists && known.version == row.Version {
+		observed.since = known.since
+	}
+	return observed, true
+}
+
+func (registry *Registry) observeHolder(now time.Time, server string, row lentilproxy.Row) (observed observedHolder, valid bool) {
+	observed = observedHolder{version: row.Version, since: now}
+	if json.Unmarshal(row.Value, &observed.row) != nil {
+		return observed, false
+	}
+	if known, exists := registry.holders[server]; exists && known.version == row.Version {
+		observed.since = known.since
+	}
+	return observed, true
+}
+
+func (registry *Registry) observeFormer(now time.Time, name string, row lentilproxy.Row) observedFormer {
+	if known, exists := registry.former[name]; exists && known.version == row.Version {
+		return known
+	}
+	return observedFormer{version: row.Version, since: now}
+}
+
 // reconcile brings the host's own lease and its claims in line with the observed rows.
 func (registry *Registry) reconcile() {
 	own, found := registry.hosts[registry.self.Name]
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -13,8 +13,13 @@
 	retry bool
 }
 
+const (
+	ratio  = 0.2
+	window = 10 * time.Second
+)
+
 // count returns the number of retries or requests in the window that starts at a point in time.
-func count(events []event, start time.Time, window time.Duration, retry bool) float64 {
+func count(events []event, start time.Time, retry bool) float64 {
 	sum := 0.0
 	for _, event := range events {
 		if since := event.at.Sub(start); event.retry == retry && since >= 0 && since < window {
@@ -28,7 +33,6 @@
 // hosts. As on the platform, the requests count of the window, the one before it or the one half a window before it,
 // whichever has most.
 func TestBudgetHoldsOverAllHosts(t *testing.T) {
-	const ratio, window = 0.2, 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		allowance := float64(rapid.IntRange(10, 200).Draw(t, "allowance"))
 		hosts := rapid.SampledFrom([]int{1, 2, 5, 8, 25, 78, 195, 360}).Draw(t, "hosts")
@@ -50,9 +54,9 @@
 			}
 		}
 		for _, first := range events {
-			requests := max(count(events, first.at, window, false), count(events, first.at.Add(-window), window, false),
-				count(events, first.at.Add(-window/2), window, false))
-			if retries := count(events, first.at, window, true); retries > ratio*requests+allowance {
+			requests := max(count(events, first.at, false), count(events, first.at.Add(-window), false),
+				count(events, first.at.Add(-window/2), false))
+			if retries := count(events, first.at, true); retries > ratio*requests+allowance {
 				t.Fatalf("%v retries with %v requests and an allowance of %v", retries, requests, allowance)
 			}
 		}
@@ -62,7 +66,7 @@
 // Hundreds of hosts want to retry at once, more often than they have a share of the allowance for. A floor of two
 // retries a host would exceed the allowance of 430 with 216 hosts already.
 func TestBudgetHoldsWhenAllHostsRetryAtOnce(t *testing.T) {
-	const ratio, window, allowance = 0.2, 10 * time.Second, 430
+	const allowance = 430
 	for _, hosts := range []int{25, 78, 195, 360} {
 		start := time.Unix(1000, 0)
 		retries := 0
