--- a/io/front/front.go
+++ b/io/front/front.go
@@ -53,7 +53,6 @@
 	acceptUntil atomic.Int64
 	mutex       sync.Mutex
 	conns       map[*conn]struct{}
-	closed      bool
 	active      atomic.Int64
 	done        chan struct{}
 }
@@ -128,10 +127,6 @@
 	conn := &conn{server: server, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if server.closed {
-		_ = raw.Close()
-		return
-	}
 	server.conns[conn] = struct{}{}
 	go func() {
 		conn.serve()
@@ -180,7 +175,6 @@
 	server.StopAccepting()
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.closed = true
 	for conn := range server.conns {
 		_ = conn.raw.Close()
 	}
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -115,6 +116,64 @@
 	}
 }
 
+// Bytes that are no response may come without end. They are read up to a bound, and the connection is closed.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, test := range map[string]struct {
+		prefix, filler string
+		stream         bool
+	}{
+		"status line":             {"", "x", false},
+		"header":                  {head + "X-Filler: ", "a", false},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", false},
+		"chunk size":              {head + "Transfer-Encoding: chunked\r\n\r\n", "0", false},
+		"body":                    {head + "\r\n", "x", false},
+		"event":                   {head + "\r\ndata: ", "x", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, test.prefix)
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat(test.filler, 1+4096/len(test.filler)))
+				}
+			}()
+			startedAt := time.Now()
+			call := &call{request: httptest.NewRequest(http.MethodPost, "/", http.NoBody)}
+			client := engine.NewHTTPClient(checkedDial(func(time.Time) bool { return true }))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			result := call.send(ctx, client, "http://"+listener.Addr().String()+"/", []byte("{}"))
+			switch {
+			case result.err != nil:
+			case test.stream:
+				stream := &stream{events: make(chan []byte, maxBufferedEvents)}
+				stream.read(ctx, result.response)
+				is.True(stream.err != nil)
+				is.Equal(len(stream.events), 0)
+			default:
+				_, err = readBody(result.response)
+				is.True(err != nil)
+			}
+			if result.err == nil {
+				_ = result.response.Body.Close()
+			}
+			<-closed
+			is.True(time.Since(startedAt) < 3*time.Second)
+		})
+	}
+}
+
 // Any body that a caller sends is either decoded or refused with a code.
 func FuzzCallerBody(f *testing.F) {
 	f.Add([]byte(`{"model":"shop/ribs@v2","prompt":"x","stream":true,"max_tokens":3,"priority":"batch"}`))
