mirror: deletions before a scan reach peers

Cause: a mirror that was filled by a scan, or that has dropped old tombstones, cannot say what was deleted before. If the deletion was the newest change, the newest row did not even differ.

Change: a mirror knows since when it has all changes. A peer that asks for older ones gets the whole table, which replaces its rows as a scan does. A scan's version counts as the newest one, so that peers ask.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -16,8 +16,11 @@
 	tombstones int
 	// version is the version of the newest page that came from the store itself. Changes after it are requested next.
 	version int64
-	// newestRowVersion is the greatest version of a row.
+	// newestRowVersion is the greatest version of a row or a scan. The mirror contains all changes up to it.
 	newestRowVersion int64
+	// historySince is the version after which the mirror has all changes, including deletions. A scan does not contain the
+	// rows that were deleted before it.
+	historySince int64
 }
 
 // New returns an empty mirror.
@@ -26,7 +29,7 @@
 // Version returns the version of the store up to which the mirror is complete.
 func (mirror *Mirror) Version() int64 { return mirror.version }
 
-// NewestRowVersion returns the greatest version of a row, from the store or from a peer.
+// NewestRowVersion returns the greatest version of a row or a scan, from the store or from a peer.
 func (mirror *Mirror) NewestRowVersion() int64 { return mirror.newestRowVersion }
 
 // Rows returns the rows by key, including tombstones of deleted rows. The caller must not change them.
@@ -42,6 +45,14 @@
 // Replace applies a scan of the whole table. Rows that the scan lacks were deleted before it, unless their version is
 // newer than the scan. It reports whether a row of the mirror changed.
 func (mirror *Mirror) Replace(page lentilproxy.Page) bool {
+	changed := mirror.MergeWhole(page)
+	mirror.version = max(mirror.version, page.Version)
+	return changed
+}
+
+// MergeWhole applies the whole table of a peer as of a version, like a scan. It reports whether a row of the mirror
+// changed.
+func (mirror *Mirror) MergeWhole(page lentilproxy.Page) bool {
 	present := make(map[string]struct{}, len(page.Rows))
 	for _, row := range page.Rows {
 		present[row.Key] = struct{}{}
@@ -53,7 +64,10 @@
 		}
 	}
 	changed := mirror.Merge(removed)
-	return mirror.Apply(page) || changed
+	changed = mirror.Merge(page.Rows) || changed
+	mirror.newestRowVersion = max(mirror.newestRowVersion, page.Version)
+	mirror.historySince = max(mirror.historySince, page.Version)
+	return changed
 }
 
 // Merge applies rows from a peer. Rows that the peer did not send are unchanged. It reports whether a row of the mirror
@@ -91,6 +105,7 @@
 	}
 	sort.Slice(versions, func(left, right int) bool { return versions[left] < versions[right] })
 	limit := versions[len(versions)/2]
+	mirror.historySince = max(mirror.historySince, limit)
 	for key, row := range mirror.rows {
 		if row.Deleted && row.Version <= limit {
 			delete(mirror.rows, key)
@@ -99,14 +114,15 @@
 	}
 }
 
-// Since returns the rows that changed after a version, in the order of their versions.
-func (mirror *Mirror) Since(version int64) []lentilproxy.Row {
-	var rows []lentilproxy.Row
+// Since returns the rows that changed after a version, in the order of their versions. If the mirror lacks a part of these
+// changes, Since returns the whole table instead, without deleted rows.
+func (mirror *Mirror) Since(version int64) (page lentilproxy.Page, whole bool) {
+	page.Version, whole = mirror.newestRowVersion, version < mirror.historySince
 	for _, row := range mirror.rows {
-		if row.Version > version {
-			rows = append(rows, row)
+		if (whole && !row.Deleted) || (!whole && row.Version > version) {
+			page.Rows = append(page.Rows, row)
 		}
 	}
-	sort.Slice(rows, func(left, right int) bool { return rows[left].Version < rows[right].Version })
-	return rows
+	sort.Slice(page.Rows, func(left, right int) bool { return page.Rows[left].Version < page.Rows[right].Version })
+	return page, whole
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -72,7 +72,7 @@
 				mirror.Apply(store.since(after, rapid.Int64Range(after, store.version()).Draw(t, "version")))
 			case 4:
 				peer.Replace(store.scan(store.version()))
-				mirror.Merge(peer.Since(rapid.Int64Range(0, store.version()).Draw(t, "since")))
+				pull(mirror, peer, rapid.Int64Range(0, store.version()).Draw(t, "since"))
 			}
 			for key, row := range mirror.Rows() {
 				if row.Version < seen[key] {
@@ -98,6 +98,96 @@
 	})
 }
 
+// pull applies the rows of a peer that changed after a version.
+func pull(mirror, peer *Mirror, after int64) {
+	page, whole := peer.Since(after)
+	if whole {
+		mirror.MergeWhole(page)
+		return
+	}
+	mirror.Merge(page.Rows)
+}
+
+// equalsStore reports whether the rows of a mirror are those of the newest version of a store.
+func equalsStore(mirror *Mirror, store *modelStore) bool {
+	present := 0
+	for key, row := range mirror.Rows() {
+		if row.Deleted {
+			continue
+		}
+		present++
+		if store.states[store.version()-1][key].Version != row.Version {
+			return false
+		}
+	}
+	return present == len(store.states[store.version()-1])
+}
+
+// A host that has just started has scanned the table, so it knows nothing of rows that were deleted before. Hosts that
+// get rows from it must not keep these.
+func TestDeletionsBeforeAScanReachPeers(t *testing.T) {
+	for name, later := range map[string]bool{"scan only": false, "and a later change": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store, mirror, started := &modelStore{}, New(), New()
+			store.write("gone", false)
+			store.write("kept", false)
+			mirror.Replace(store.scan(store.version()))
+			store.write("gone", true)
+			started.Replace(store.scan(store.version()))
+			if later {
+				after := store.version()
+				store.write("new", false)
+				started.Apply(store.since(after, store.version()))
+			}
+			is.True(started.NewestRowVersion() > mirror.NewestRowVersion()) // The host requests the rows.
+			pull(mirror, started, mirror.NewestRowVersion())
+			is.True(equalsStore(mirror, store))
+		})
+	}
+}
+
+// A host accepts the proof of a peer that has just read the store if the peer has no newer row, and otherwise requests
+// rows first. Its mirror then equals the store, whatever hosts have read, missed and passed on before.
+func TestProofsOfPeersHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &modelStore{}
+		store.write("0", false)
+		type reader struct {
+			mirror *Mirror
+			// after is the version of the host's last own read.
+			after int64
+		}
+		readers := make([]*reader, 3)
+		start := func(index int) {
+			readers[index] = &reader{mirror: New(), after: store.version()}
+			readers[index].mirror.Replace(store.scan(store.version()))
+		}
+		for index := range readers {
+			start(index)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			source, other := rapid.IntRange(0, 2).Draw(t, "source"), rapid.IntRange(0, 2).Draw(t, "other")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				store.write(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				start(source)
+			default:
+				from, to := readers[source], readers[other]
+				from.mirror.Apply(store.since(from.after, store.version()))
+				from.after = store.version()
+				if from.mirror.NewestRowVersion() > to.mirror.NewestRowVersion() {
+					pull(to.mirror, from.mirror, to.mirror.NewestRowVersion())
+				}
+				if !equalsStore(to.mirror, store) {
+					t.Fatal("a host has accepted a proof and lacks a change")
+				}
+			}
+		}
+	})
+}
+
 func TestTombstonesAreBounded(t *testing.T) {
 	is := is.New(t)
 	mirror := New()
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -27,8 +27,10 @@
 }
 
 type rowsResult struct {
-	Rows   map[string][]lentilproxy.Row `json:"rows"`
-	Proofs map[string]proof             `json:"proofs"`
+	Rows map[string][]lentilproxy.Row `json:"rows"`
+	// Whole maps the tables of which all rows are sent to the version that they are of.
+	Whole  map[string]int64 `json:"whole,omitempty"`
+	Proofs map[string]proof `json:"proofs"`
 }
 
 // compareProofs applies a peer's proofs for the tables of which this host has all the peer's rows. It requests the
@@ -89,9 +91,15 @@
 			if !requested {
 				continue
 			}
-			changed := table.Merge(rows)
+			version, whole := result.Whole[table.name]
+			var changed bool
+			if whole {
+				changed = table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version})
+			} else {
+				changed = table.Merge(rows)
+			}
 			if changed && table.name != control.fleet.name {
-				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "version", table.NewestRowVersion())
+				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.NewestRowVersion())
 			}
 			control.applyProof(now, provenAt, table, changed)
 		}
@@ -115,10 +123,14 @@
 func (control *control) rowsSince(params rowsParams) rowsResult {
 	var result rowsResult
 	control.coordinator.do(func(now time.Time) {
-		result = rowsResult{Rows: map[string][]lentilproxy.Row{}, Proofs: control.proofs(now)}
+		result = rowsResult{Rows: map[string][]lentilproxy.Row{}, Whole: map[string]int64{}, Proofs: control.proofs(now)}
 		for _, table := range control.tables() {
 			if after, requested := params.After[table.name]; requested {
-				result.Rows[table.name] = table.Since(after)
+				page, whole := table.Since(after)
+				result.Rows[table.name] = page.Rows
+				if whole {
+					result.Whole[table.name] = page.Version
+				}
 			}
 		}
 	})
--- a/io/daemon/log.go
+++ b/io/daemon/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,10 +88,16 @@
 	<-writer.done
 }
 
-// NewLog returns a log of JSON lines.
-func NewLog(output io.Writer) logr.Logger {
+// setLogFormat sets the names and formats that the libraries keep in package variables, which lines that are being
+// written read.
+var setLogFormat = sync.OnceFunc(func() {
 	zerologr.NameFieldName = "part"
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+})
+
+// NewLog returns a log of JSON lines.
+func NewLog(output io.Writer) logr.Logger {
+	setLogFormat()
 	logger := zerolog.New(output).With().Timestamp().Logger()
 	return zerologr.New(&logger)
 }
