--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -91,13 +91,7 @@
 			if !requested {
 				continue
 			}
-			version, whole := result.Whole[table.name]
-			var changed bool
-			if whole {
-				changed = table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version})
-			} else {
-				changed = table.Merge(rows)
-			}
+			changed, whole := result.merge(table, rows)
 			if changed && table.name != control.fleet.name {
 				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.NewestRowVersion())
 			}
@@ -106,6 +100,15 @@
 	})
 }
 
+// merge applies rows of a table, which may be all of them. It reports whether a row of the mirror changed.
+func (result rowsResult) merge(table *tableMirror, rows []lentilproxy.Row) (changed, whole bool) {
+	version, whole := result.Whole[table.name]
+	if whole {
+		return table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version}), true
+	}
+	return table.Merge(rows), false
+}
+
 // proofs returns the host's proofs for its mirrors. The age is -1 for a table that the host has no proof for.
 func (control *control) proofs(now time.Time) map[string]proof {
 	proofs := map[string]proof{}
