--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -3,8 +3,8 @@
 //
 // The decisions are made in core packages. Package lease decides which host holds a server, that is, which one may
 // send it orders. Package slots chooses the orders, which load base models, and load and unload adapters. Package
-// sched chooses the server for a request, package limit divides the limits of workspaces over the hosts, and package
-// gossip decides when to call which peer.
+// sched chooses the server for a request, package pace decides when its prompt is sent, package limit divides the limits
+// of workspaces over the hosts, and package gossip decides when to call which peer.
 //
 // The flow of events:
 //
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -17,6 +17,10 @@
 	methodRows   = "fleet.rows"
 	methodLoad   = "fleet.load"
 	methodCrash  = "fleet.death"
+	// methodPace asks when a prompt may be sent; methodRead and methodPause report the end of its read and a pause.
+	methodPace  = "fleet.pace"
+	methodRead  = "fleet.read"
+	methodPause = "fleet.pause"
 )
 
 type crashParams struct {
--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -19,15 +19,8 @@
 	pacerAvoidance = 2 * time.Second
 	// pauseReportInterval is the least time between two reports of pauses on one server.
 	pauseReportInterval = 250 * time.Millisecond
-	// minReportedPause is the fraction of the gap objective from which on a pause is reported.
-	minReportedPause = 0.75
-)
-
-// Methods of pacers.
-const (
-	methodPace  = "fleet.pace"
-	methodRead  = "fleet.read"
-	methodPause = "fleet.pause"
+	// minReportedFraction is the fraction of the gap objective from which on a pause is reported.
+	minReportedFraction = 0.75
 )
 
 // paceParams asks the pacer of a server when a prompt may be sent. All times are in milliseconds.
@@ -318,7 +311,7 @@
 
 // RecordPause records a pause between two events of a stream on a server.
 func (coordinator *Coordinator) RecordPause(now time.Time, server spec.Server, pause, objective time.Duration) {
-	if float64(pause) < minReportedPause*float64(objective) || !coordinator.traffic.pacers.reportDue(now, server.ID) {
+	if float64(pause) < minReportedFraction*float64(objective) || !coordinator.traffic.pacers.reportDue(now, server.ID) {
 		return
 	}
 	_, address, found := coordinator.traffic.pacers.hostFor(now, server.ID)
