limit: former hosts do not delay hosts that have just started

A host had been replaced for good a few seconds before, so each host that started counted it as a former one, and used a quarter of its shares until its scans were 2.5 s old.

Change: former hosts count only while the host's scan is old. A host that joins again uses its whole share only after 2.5 s of scans, by which time the others' scans have shown its row.

--- a/core/limit/membership.go
+++ b/core/limit/membership.go
@@ -36,6 +36,8 @@
 	ackedAt map[string]time.Time
 	// lastMemberAt is when each host was last counted as a member.
 	lastMemberAt map[string]time.Time
+	// formerAt is when each host that has lost its row was last named as a former one.
+	formerAt map[string]time.Time
 	// scannedAt is when the rows were requested. freshSince is the time of the first scan in the current series of
 	// scans that are less than scanTTL apart.
 	scannedAt  time.Time
@@ -53,16 +55,15 @@
 
 // NewMembership returns the membership of a host, without any members; the host itself does not count yet.
 func NewMembership(self string) *Membership {
-	return &Membership{self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{}}
+	return &Membership{self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{},
+		formerAt: map[string]time.Time{}}
 }
 
 // ApplyScan records the hosts that have a row in the store, and those that had one until recently, according to a scan
 // requested at scannedAt. The latter may join again without this host noticing, if it loses the store in the meantime.
 func (membership *Membership) ApplyScan(scannedAt time.Time, hosts, former []string) {
 	for _, host := range former {
-		if membership.lastMemberAt[host].Before(scannedAt) {
-			membership.lastMemberAt[host] = scannedAt
-		}
+		membership.formerAt[host] = scannedAt
 	}
 	hadRow := membership.rows.Has(membership.self)
 	membership.rows = value.NewSet(hosts...)
@@ -159,6 +160,17 @@
 		}
 		delete(membership.lastMemberAt, host)
 	}
+	if now.Sub(membership.scannedAt) < scanTTL {
+		// A former host that joins again uses its whole share only after the next scans have shown its row.
+		return members
+	}
+	for host, at := range membership.formerAt {
+		if now.Sub(at) < knownHostTTL {
+			members.Add(host)
+			continue
+		}
+		delete(membership.formerAt, host)
+	}
 	return members
 }
 
--- a/core/limit/membership_test.go
+++ b/core/limit/membership_test.go
@@ -145,6 +145,11 @@
 	}
 	is := is.New(t)
 	is.Equal(started[0].Fraction(now.Add(scanTTL)), 0.5) // A former host does not count while the rows are fresh.
+	again := NewMembership("h0")
+	again.ApplyScan(now, []string{"h0", "h1"}, []string{"h2"})
+	again.RecordMessage(now, "h1", 2)
+	again.RecordAck(now, "h1")
+	is.Equal(again.Fraction(now), 0.5) // Nor does it delay a host that has just started.
 	alone := NewMembership("h2")
 	now = now.Add(20 * time.Second)
 	for _, at := range []time.Duration{0, scanTTL - 1, scanTTL} {
