--- a/core/limit/membership.go
+++ b/core/limit/membership.go
@@ -55,8 +55,10 @@
 
 // NewMembership returns the membership of a host, without any members; the host itself does not count yet.
 func NewMembership(self string) *Membership {
-	return &Membership{self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{},
-		formerAt: map[string]time.Time{}}
+	return &Membership{
+		self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{},
+		formerAt: map[string]time.Time{},
+	}
 }
 
 // ApplyScan records the hosts that have a row in the store, and those that had one until recently, according to a scan
