--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -30,13 +30,42 @@
 	name    string
 	callers string
 	ready   string
+	path    string
 	process *exec.Cmd
 }
 
-func freeAddresses(count int) ([]string, error) {
+// start starts the daemon's process.
+func (host *host) start() error {
+	process := exec.Command(program, "--config", host.path)
+	process.Stdout, process.Stderr = io.Discard, io.Discard
+	if folder := os.Getenv("REVIEW_LOGS"); folder != "" {
+		log, err := os.OpenFile(filepath.Join(folder, host.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		process.Stdout = log
+	}
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	host.process = process
+	return process.Start()
+}
+
+func (host *host) kill() {
+	_ = host.process.Process.Kill()
+	_ = host.process.Wait()
+}
+
+// stop ends the daemon's process as planned.
+func (host *host) stop() {
+	_ = host.process.Process.Signal(syscall.SIGTERM)
+	_ = host.process.Wait()
+}
+
+// freeAddresses returns unused addresses, as IP:port.
+func freeAddresses(ip string, count int) ([]string, error) {
 	addresses := make([]string, count)
 	for index := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -48,7 +77,9 @@
 
 // startHost starts a daemon with the settings of a small deployment, and waits until it is ready.
 func (stand *stand) startHost(name, store string) (*host, error) {
-	addresses, err := freeAddresses(4)
+	// Each host has a loopback address of its own, so that its ports are not given to others while it is down.
+	stand.hosts++
+	addresses, err := freeAddresses(fmt.Sprint("127.0.0.", 10+stand.hosts), 4)
 	if err != nil {
 		return nil, err
 	}
@@ -59,22 +90,11 @@
 	if err = os.WriteFile(path, []byte(content), 0o600); err != nil {
 		return nil, err
 	}
-	process := exec.Command(program, "--config", path)
-	process.Stdout, process.Stderr = io.Discard, io.Discard
-	if folder := os.Getenv("REVIEW_LOGS"); folder != "" {
-		if process.Stdout, err = os.Create(filepath.Join(folder, name+".log")); err != nil {
-			return nil, err
-		}
-	}
-	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err = process.Start(); err != nil {
+	started := &host{name: name, callers: addresses[0], ready: addresses[1], path: path}
+	if err = started.start(); err != nil {
 		return nil, err
 	}
-	started := &host{name: name, callers: addresses[0], ready: addresses[1], process: process}
-	stand.onClose(func() {
-		_ = process.Process.Kill()
-		_ = process.Wait()
-	})
+	stand.onClose(started.kill)
 	for range 200 {
 		response, err := http.Get("http://" + started.ready + "/v1/readiness")
 		if err == nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,8 @@
 	folder  string
 	trouble bool
 	started time.Time
+	// hosts is the number of daemons that were started.
+	hosts int
 
 	mutex  sync.Mutex
 	record *os.File
