--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -161,6 +160,13 @@
 	}
 }
 
+// setAway stops the renewals of a server's registration.
+func (platform *platform) setAway(id string) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.away[id] = true
+}
+
 func (platform *platform) register(id string, content func() map[string]any) {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
@@ -178,11 +184,3 @@
 	}
 	return head.String() + "\r\n" + body
 }
-
-// sendChat sends one request for an adapter, and waits for its answer.
-func sendChat(address, adapter string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
-	defer cancel()
-	_, err := stub.Send(ctx, address, stub.ChatPath, stub.Key, adapter, "prompt")
-	return err
-}
