--- a/review/stand/scanned.go
+++ b/review/stand/scanned.go
@@ -117,7 +117,7 @@
 func sendOrder(address, key string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	response, err := stub.Send(ctx, address, stub.OrderPath, key, "", "order")
+	response, err := stub.Send(ctx, address, stub.OrderPath, key, "", "order "+stub.NewID())
 	if err != nil {
 		return 0
 	}
--- a/review/stand/silenced.go
+++ b/review/stand/silenced.go
@@ -16,7 +16,13 @@
 	"lentilproxy/platform/stub"
 )
 
-func init() { cases["silenced"] = silenced }
+func init() {
+	cases["silenced"] = func(stand *stand) (bool, error) { return repeats(stand, stub.CrashSilently, 0) }
+	cases["outlived"] = func(stand *stand) (bool, error) { return repeats(stand, stub.CrashBeforeResponse, crashDelay) }
+}
+
+// crashDelay is how long a server that goes on with a request works on it before it crashes.
+const crashDelay = 400 * time.Millisecond
 
 const (
 	silencedServers = 8
@@ -46,6 +52,8 @@
 	// gone holds the servers that have crashed.
 	gone    map[string]bool
 	started int
+	crashAt stub.CrashPoint
+	delay   time.Duration
 }
 
 // start starts an incarnation of a server.
@@ -54,11 +62,11 @@
 	fleet.started++
 	id := fmt.Sprint("plain-", fleet.started)
 	fleet.mutex.Unlock()
-	server, err := stub.NewServer(id, stub.ServiceOrders, stub.WithOnCrash(func() { fleet.crashed(id) }))
+	server, err := stub.NewServer(id, stub.ServiceOrders, stub.WithOnCrash(func() { fleet.crashed(id) }), stub.WithPromptTime(fleet.delay))
 	if err != nil {
 		return err
 	}
-	server.SetFaults(stub.ServerFaults{CrashOn: crashText, CrashAt: stub.CrashSilently})
+	server.SetFaults(stub.ServerFaults{CrashOn: crashText, CrashAt: fleet.crashAt})
 	fleet.stand.onClose(server.Close)
 	fleet.mutex.Lock()
 	fleet.servers = append(fleet.servers, server)
@@ -79,7 +87,7 @@
 	if known {
 		return
 	}
-	fleet.stand.logf("%s crashes and is silent", id)
+	fleet.stand.logf("%s crashes", id)
 	fleet.platform.setAway(id)
 	time.AfterFunc(registrationLife, func() { fleet.platform.store.Delete("servers", id) })
 	time.AfterFunc(backAfter, func() { _ = fleet.start() })
@@ -87,7 +95,7 @@
 
 // silenced repeats a request that silences each server that runs it, from callers who leave early, beside sound requests.
 // Once it has crashed three servers, at most three of its retries may reach others.
-func silenced(stand *stand) (bool, error) {
+func repeats(stand *stand, crashAt stub.CrashPoint, delay time.Duration) (bool, error) {
 	platform, err := stand.startPlatform()
 	if err != nil {
 		return false, err
@@ -97,7 +105,7 @@
 		route.(map[string]any)["target_latency_ms"] = objective.Milliseconds()
 	}
 	platform.store.Put("op", "config", config)
-	fleet := &silencedFleet{stand: stand, platform: platform, gone: map[string]bool{}}
+	fleet := &silencedFleet{stand: stand, platform: platform, gone: map[string]bool{}, crashAt: crashAt, delay: delay}
 	for range silencedServers {
 		if err = fleet.start(); err != nil {
 			return false, err
