--- a/review/stand/copied.go
+++ b/review/stand/copied.go
@@ -95,7 +95,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		id := request.Header.Get("Lentilproxy-Attempt-Id")
+		id := request.Header.Get(names.ID)
 		if late != nil {
 			if bytes.Contains(late, []byte("Not-Executed")) {
 				worker.stand.logf("%s sends its last answer on this connection, a rejection, once more, before that to %s", worker.id, id)
@@ -117,13 +117,13 @@
 
 func (worker *copyWorker) answer(request *http.Request, id string) []byte {
 	var out bytes.Buffer
-	if expected := request.Header.Get("Lentilproxy-Expected-Instance"); expected != "" && expected != worker.id {
-		fmt.Fprintf(&out, "HTTP/1.1 421 Misdirected Request\r\nLentilproxy-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", worker.id)
+	if expected := request.Header.Get(names.Expected); expected != "" && expected != worker.id {
+		fmt.Fprintf(&out, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.Instance, worker.id)
 		return out.Bytes()
 	}
 	defer worker.inside.Add(-1)
 	if worker.inside.Add(1) > workSlots+workQueue {
-		fmt.Fprintf(&out, "HTTP/1.1 503 Service Unavailable\r\nLentilproxy-Attempt-Id: %s\r\nLentilproxy-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(&out, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.ID, id, names.NotExecuted)
 		return out.Bytes()
 	}
 	worker.slots <- struct{}{}
@@ -133,13 +133,13 @@
 	time.Sleep(workTime)
 	<-worker.slots
 	body := "answer to " + id
-	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\nLentilproxy-Attempt-Id: %s\r\nLentilproxy-Server-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s\r\nContent-Length: %d\r\n\r\n%s", names.ID, id, names.Signature, id, len(body), body)
 	return out.Bytes()
 }
 
 func (worker *copyWorker) registration() map[string]any {
 	return map[string]any{
-		"service": stub.ServiceOrders, "address": worker.address, "zone": "dc-1", "version": "v1", "capacity_slots": workSlots, "state": "ready",
+		"service": stub.ServiceOrders, "address": worker.address, "zone": "dc-1", "version": "v1", names.Slots: workSlots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence_number": 0, "born": worker.born,
 	}
 }
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -78,7 +78,7 @@
 func (stand *stand) startHost(name, store string) (*host, error) {
 	// Each host has a loopback address of its own, so that its ports are not given to others while it is down.
 	stand.hosts++
-	addresses, err := freeAddresses(fmt.Sprint("127.0.0.", 10+stand.hosts), 4)
+	addresses, err := freeAddresses(fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%250, 10+stand.hosts), 4)
 	if err != nil {
 		return nil, err
 	}
@@ -178,9 +178,9 @@
 func requestHead(id, path, adapter, body string) string {
 	var head strings.Builder
 	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", path, stub.Host, len(body))
-	fmt.Fprintf(&head, "Lentilproxy-Attempt-Id: %s\r\nAuthorization: Token %s\r\nLentilproxy-Deadline-Ms: 6000\r\n", id, stub.Key)
+	fmt.Fprintf(&head, "%s: %s\r\nAuthorization: Token %s\r\n%s: 6000\r\n", names.ID, id, stub.Key, names.Deadline)
 	if adapter != "" {
-		fmt.Fprintf(&head, "Lentilproxy-Model: %s/%s\r\nLentilproxy-Token-Usage: %d,%d\r\n", stub.Model, adapter, stub.PromptTokens, stub.OutputTokens)
+		fmt.Fprintf(&head, "%s: %s/%s\r\n%s: %d,%d\r\n", names.Model, stub.Model, adapter, names.Tokens, stub.PromptTokens, stub.OutputTokens)
 	}
 	return head.String() + "\r\n" + body
 }
--- a/review/stand/resumed.go
+++ b/review/stand/resumed.go
@@ -61,7 +61,7 @@
 		server.Advertise(relay.Address())
 		relays = append(relays, relay)
 		server.SetFaults(stub.ServerFaults{Respond: func(writer http.ResponseWriter, request *http.Request, arrival *stub.Arrival) {
-			writer.Header().Set("Lentilproxy-Server-Signature", "sig."+arrival.ID)
+			writer.Header().Set(names.Signature, "sig."+arrival.ID)
 			mutex.Lock()
 			fails := grey.Load() && random.Float64() < failedShare
 			mutex.Unlock()
@@ -123,7 +123,7 @@
 // streamEventsTo writes the events after the one that the request names.
 func streamEventsTo(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "text/event-stream")
-	writer.Header().Set("Lentilproxy-Weight-Versions", "1")
+	writer.Header().Set(names.Versions, "1")
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for event := last + 1; event <= streamEvents; event++ {
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", event, event)
