--- a/review/stand/copied.go
+++ b/review/stand/copied.go
@@ -27,9 +27,12 @@
 	workTime  = 3 * time.Millisecond
 	// copyEvery is the number of answers of which a faulty server sends one twice (x of garble: 0.03).
 	copyEvery   = 34
-	copyWorkers = 3
-	copyCallers = 30
+	copyWorkers = 5
+	copyCallers = 40
 	copyTime    = 60 * time.Second
+	// copyPhase is how long servers are faulty at a time (for_s of garble), and copyPause the time between.
+	copyPhase = 5 * time.Second
+	copyPause = time.Second
 )
 
 // copyWorker is a plain server that works on workSlots requests at a time, keeps workQueue more waiting, and rejects the
@@ -106,7 +109,7 @@
 			late = nil
 		}
 		out := worker.answer(request, id)
-		if worker.faulty && worker.answers.Add(1)%copyEvery == 0 {
+		if worker.faulty && worker.inPhase() && worker.answers.Add(1)%copyEvery == 0 {
 			late = out
 		}
 		if _, err = conn.Write(out); err != nil {
@@ -115,6 +118,11 @@
 	}
 }
 
+// inPhase reports whether faulty servers are faulty now.
+func (worker *copyWorker) inPhase() bool {
+	return time.Since(worker.stand.started)%(copyPhase+copyPause) < copyPhase
+}
+
 func (worker *copyWorker) answer(request *http.Request, id string) []byte {
 	var out bytes.Buffer
 	if expected := request.Header.Get(names.Expected); expected != "" && expected != worker.id {
@@ -155,7 +163,7 @@
 	counts := &runs{counts: map[string]int{}}
 	for number := range copyWorkers {
 		worker := &copyWorker{
-			stand: stand, id: fmt.Sprint("plain-", number+1), faulty: stand.trouble && number*5 < copyWorkers*3, born: time.Now().UnixMilli(),
+			stand: stand, id: fmt.Sprint("plain-", number+1), faulty: stand.trouble && number < copyWorkers*3/5, born: time.Now().UnixMilli(),
 			slots: make(chan struct{}, workSlots), runs: counts,
 		}
 		if err = worker.listen(); err != nil {
--- a/review/stand/resumed.go
+++ b/review/stand/resumed.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"lentilproxy/io/soak"
 	"lentilproxy/platform/stub"
 )
 
@@ -29,11 +28,16 @@
 	eventGap     = 40 * time.Millisecond
 	// failedShare is the share of requests that servers answer with an error while they are in trouble (x of srv_grey).
 	failedShare = 0.45
-	streams     = 32
+	// greyTime is how long servers are in trouble at a time (for_s of srv_grey), and greyPause the time between.
+	greyTime  = 4 * time.Second
+	greyPause = 2 * time.Second
+	phases    = 8
+	// streamsAtOnce is the number of streams on each daemon at a time.
+	streamsAtOnce = 6
 )
 
-// resumed sends resumable streams. While they run, connections to servers are reset, and servers answer a part of their
-// requests with an error. Each answer must be one in the protocol.
+// resumed sends resumable streams through three daemons. While they run, half of one daemon's connections to servers are
+// reset, and servers answer a part of their requests with an error. Each answer must be one in the protocol.
 func resumed(stand *stand) (bool, error) {
 	platform, err := stand.startPlatform()
 	if err != nil {
@@ -43,7 +47,7 @@
 	config.Timeout = 6000
 	config.Apply(platform.store)
 	var grey atomic.Bool
-	var relays []*soak.Relay
+	var relays []*relay
 	random := rand.New(rand.NewPCG(1, 2))
 	var mutex sync.Mutex
 	for number := range 3 {
@@ -53,12 +57,12 @@
 			return false, err
 		}
 		stand.onClose(server.Close)
-		relay, err := soak.NewRelay(server.Address())
+		relay, err := newRelay(server.Address())
 		if err != nil {
 			return false, err
 		}
-		stand.onClose(relay.Close)
-		server.Advertise(relay.Address())
+		stand.onClose(relay.close)
+		server.Advertise(relay.address())
 		relays = append(relays, relay)
 		server.SetFaults(stub.ServerFaults{Respond: func(writer http.ResponseWriter, request *http.Request, arrival *stub.Arrival) {
 			writer.Header().Set(names.Signature, "sig."+arrival.ID)
@@ -75,51 +79,74 @@
 		}})
 		platform.register(id, func() map[string]any { return server.Registration("ready") })
 	}
-	host, err := stand.startHost("host-1", platform.address)
-	if err != nil {
-		return false, err
-	}
-	for range 50 {
-		if answer := sendStream(host.callers, stub.NewID()); answer.err == nil && answer.status == http.StatusOK {
-			break
+	var hosts []*host
+	for number := range 3 {
+		started, err := stand.startHost(fmt.Sprint("host-", number+1), platform.address)
+		if err != nil {
+			return false, err
 		}
-		time.Sleep(100 * time.Millisecond)
+		hosts = append(hosts, started)
 	}
-	broken := 0
-	for number := range streams {
-		// Servers fail for 4 s of each 8 s; one server's connections are reset in each stream's time.
-		if stand.trouble && number%8 == 0 {
-			grey.Store(number%16 == 0)
-			stand.logf("servers fail a part of their requests: %v", grey.Load())
-		}
+	time.Sleep(4 * time.Second)
+	broken, sent := 0, 0
+	for phase := range phases {
 		if stand.trouble {
-			time.AfterFunc(5*eventGap, func() {
-				stand.logf("connections to engine-%d are reset", number%3+1)
-				relays[number%3].Reset()
-			})
+			grey.Store(true)
+			stand.logf("servers fail a part of their requests")
 		}
-		var group sync.WaitGroup
-		for range 3 {
-			group.Go(func() {
-				id := stub.NewID()
-				answer := sendStream(host.callers, id)
-				if answer.foreign != "" {
-					mutex.Lock()
-					broken++
-					mutex.Unlock()
-					stand.logf("%s got bytes that are no answer in the protocol: %s; status %d, %d bytes before: %q", id, answer.foreign, answer.status, len(answer.body), answer.raw)
-					return
+		ends := time.Now().Add(greyTime)
+		for round := 0; time.Until(ends) > streamEvents*eventGap; round++ {
+			// One daemon of three is disturbed at a time.
+			disturbed := owner((phase + round) % len(hosts))
+			reset := time.AfterFunc(5*eventGap, func() {
+				if stand.trouble {
+					stand.resetHalf(relays, disturbed)
 				}
-				stand.logf("%s got %d, %d bytes, error %v", id, answer.status, len(answer.body), answer.err)
 			})
+			var group sync.WaitGroup
+			for number := range streamsAtOnce * len(hosts) {
+				sent++
+				group.Go(func() {
+					id := owner(number%len(hosts)) + stub.NewID()[ownerLength:]
+					answer := sendStream(hosts[number%len(hosts)].callers, id)
+					if answer.foreign != "" {
+						mutex.Lock()
+						broken++
+						mutex.Unlock()
+						stand.logf("%s got bytes that are no answer in the protocol: %s; status %d, %d bytes before: %q", id, answer.foreign, answer.status, len(answer.body), answer.raw)
+						return
+					}
+					stand.logf("%s got %d, %d bytes, error %v", id, answer.status, len(answer.body), answer.err)
+				})
+			}
+			group.Wait()
+			reset.Stop()
 		}
-		group.Wait()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(time.Until(ends))
+		grey.Store(false)
+		time.Sleep(greyPause)
 	}
-	stand.logf("%d of %d answers were none in the protocol", broken, 3*streams)
+	stand.logf("%d of %d answers were none in the protocol", broken, sent)
 	return broken > 0, nil
 }
 
+// ownerLength is the length of the beginning of an identifier that names the daemon that gets the request.
+const ownerLength = 2
+
+func owner(number int) string { return fmt.Sprintf("%02d", number) }
+
+// resetHalf resets half of a daemon's connections to servers.
+func (stand *stand) resetHalf(relays []*relay, owner string) {
+	var links []*relayLink
+	for _, relay := range relays {
+		links = append(links, relay.linksOf(owner)...)
+	}
+	for _, link := range links[:len(links)/2] {
+		link.reset()
+	}
+	stand.logf("%d of %d connections of daemon %s to servers are reset", len(links)/2, len(links), owner)
+}
+
 // streamEventsTo writes the events after the one that the request names.
 func streamEventsTo(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "text/event-stream")
--- a/review/stand/silenced.go
+++ b/review/stand/silenced.go
@@ -36,10 +36,13 @@
 	soundCallers     = 16
 	impatience       = objective / 2
 	repeatPause      = 100 * time.Millisecond
-	crashText        = "umbrella-7"
-	silencedTime     = 16 * time.Second
-	connectivity     = 3 * time.Second
-	allowedRetries   = 3
+	// impatientTime is how long callers leave early (for_s of give_up); later they wait for the deadline, 6 s.
+	impatientTime  = 5500 * time.Millisecond
+	patience       = 6 * time.Second
+	crashText      = "umbrella-7"
+	silencedTime   = 16 * time.Second
+	connectivity   = 3 * time.Second
+	allowedRetries = 3
 )
 
 // silencedFleet is a service of plain servers that a request silences.
@@ -130,14 +133,18 @@
 			}
 		})
 	}
+	startedAt := time.Now()
 	for number := range impatientCallers {
 		if !stand.trouble {
 			continue
 		}
 		group.Go(func() {
 			for round := 0; !ended.Load(); round++ {
-				id := stub.NewID()
-				status := sendImpatiently(hosts[(number+round)%len(hosts)].callers, id)
+				id, wait := stub.NewID(), impatience
+				if time.Since(startedAt) > impatientTime {
+					wait = patience
+				}
+				status := sendWaiting(hosts[(number+round)%len(hosts)].callers, id, wait)
 				stand.logf("repeat %s at host-%d: %s", id, (number+round)%len(hosts)+1, status)
 				time.Sleep(repeatPause)
 			}
@@ -167,14 +174,14 @@
 	return late > allowedRetries, nil
 }
 
-// sendImpatiently sends the request, and leaves if there is no answer after impatience.
-func sendImpatiently(address, id string) string {
+// sendWaiting sends the request, and leaves if there is no answer in time.
+func sendWaiting(address, id string, wait time.Duration) string {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return err.Error()
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(impatience))
+	_ = conn.SetDeadline(time.Now().Add(wait))
 	if _, err = io.WriteString(conn, requestHead(id, stub.OrderPath, "", crashText)); err != nil {
 		return err.Error()
 	}
