A stream that has begun is continued by events only

Cause: when the connection of a stream broke, its request went to a second server, and relayResponse passed on whatever that server responded, without asking whether the caller's response had begun. The state that it did not look at is Begun of the exchange. Its readers were choose, relayEvents, endStream and finish; the other writers of responses, Respond and Begin, did not ask. Status 4xx, 3xx, 204 and 2xx with long bodies led to the same place, and events without IDs to another one: such a stream cannot be resumed, and was started again from its beginning behind the events that the caller had.

Now a response that is no stream counts as a failed attempt once the caller has events: another server is tried if the route allows it, else the response is cut off. A stream is only tried again if its last event has an ID. Respond and Begin send nothing after a response has begun, so that no other way can put a head into a body: the caller sees the cut.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -50,8 +50,11 @@
 // Begun reports whether a part of the response may have reached the caller.
 func (exchange *Exchange) Begun() bool { return exchange.begun }
 
-// Respond sends a complete response.
+// Respond sends a complete response. If another one has begun, it sends nothing, and the caller receives a truncated response.
 func (exchange *Exchange) Respond(status int, header http.Header, body []byte) {
+	if exchange.begun {
+		return
+	}
 	out := exchange.newHead(status, header)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		fmt.Fprintf(out, "Content-Length: %d\r\n", len(body))
@@ -63,8 +66,12 @@
 	exchange.complete = exchange.write(out.Bytes())
 }
 
-// Begin sends the status line, the headers and the first part of a response of unknown length.
+// Begin sends the status line, the headers and the first part of a response of unknown length. Like Respond, it sends nothing
+// if another one has begun.
 func (exchange *Exchange) Begin(status int, header http.Header, first []byte) {
+	if exchange.begun {
+		return
+	}
 	out := exchange.newHead(status, header)
 	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 	exchange.chunked = true
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -406,3 +407,27 @@
 		}
 	})
 }
+
+// Guards against a second head in a response that has begun: the caller would take it for a part of the body. The caller gets a
+// truncated response instead.
+func TestOneResponseIsSentForARequest(t *testing.T) {
+	for name, second := range map[string]func(exchange *Exchange){
+		"whole":        func(exchange *Exchange) { exchange.Respond(http.StatusBadGateway, http.Header{}, []byte("error")) },
+		"another part": func(exchange *Exchange) { exchange.Begin(http.StatusOK, http.Header{}, []byte("error")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := &recorder{serve: func(_ context.Context, exchange *Exchange) {
+				exchange.Begin(http.StatusOK, http.Header{}, []byte("first"))
+				second(exchange)
+			}}
+			_, address := newServer(t, recorder)
+			response, err := http.Get("http://" + address + "/a/")
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			content, err := io.ReadAll(response.Body)
+			is.True(errors.Is(err, io.ErrUnexpectedEOF))
+			is.Equal(string(content), "first")
+		})
+	}
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lentilproxy"
@@ -119,8 +120,12 @@
 	return true
 }
 
-// repeatable reports whether the request may run more than once.
+// repeatable reports whether the request may run more than once. A stream that has begun is continued after the last event
+// that the caller has received, so this event must have an ID.
 func (call *call) repeatable() bool {
+	if call.exchange.Begun() && call.lastEvent == "" {
+		return false
+	}
 	return call.route.Repeatable() || (call.route.Kind == spec.Streaming && call.route.Resumable)
 }
 
@@ -246,6 +251,8 @@
 		return call.handleBadResponse(server, "the backend server's answer is not signed")
 	case call.route.Kind == spec.Streaming && response.Status() == http.StatusOK:
 		return call.relayStream(server, run, prompt, response)
+	case call.exchange.Begun():
+		return call.handleNotResumed(server, response)
 	default:
 		return call.relayResponse(server, run, response)
 	}
@@ -370,6 +377,14 @@
 	return declined, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeBackendRefused, "the backend server has not run the request").WithRetryAfter(capacityRetryAfter)
 }
 
+// handleNotResumed handles a response that is no stream although the caller has received a part of one. Nothing of it may be
+// passed on: the caller would take it for a part of the stream.
+func (call *call) handleNotResumed(server spec.Server, response *link.Response) (attemptResult, *refuse.Refusal) {
+	response.Discard()
+	call.watch(server, true)
+	return call.handleBadResponse(server, "the backend server responded with status "+strconv.Itoa(response.Status())+" instead of resuming the stream")
+}
+
 // handleBadResponse handles an invalid or incomplete response.
 func (call *call) handleBadResponse(server spec.Server, message string) (attemptResult, *refuse.Refusal) {
 	now := clock.Now()
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -23,6 +23,7 @@
 	errEventTooLong = errors.New("an event of the stream is too long")
 	eventSeparators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 	idPrefix        = []byte("id:")
+	dataPrefix      = []byte("data:")
 )
 
 // eventReader splits a stream into complete events.
@@ -68,15 +69,38 @@
 	return longest
 }
 
-// lastID returns the ID of the last event that has one.
-func lastID(content []byte) string {
-	last := ""
-	for _, line := range bytes.Split(content, []byte("\n")) {
-		if field, found := bytes.CutPrefix(bytes.TrimRight(line, "\r"), idPrefix); found {
-			last = string(bytes.TrimSpace(field))
+// lastID returns the ID of the last event, or "" if that event has none. found is false if there are only comments.
+func lastID(content []byte) (last string, found bool) {
+	for len(content) > 0 {
+		var event []byte
+		event, content = cutEvent(content)
+		if id, data := eventID(event); id != "" || data {
+			last, found = id, true
+		}
+	}
+	return last, found
+}
+
+// cutEvent returns the first of some complete events, with its separator, and the others.
+func cutEvent(content []byte) (event, others []byte) {
+	end := len(content)
+	for _, separator := range eventSeparators {
+		if index := bytes.Index(content, separator); index >= 0 {
+			end = min(end, index+len(separator))
 		}
 	}
-	return last
+	return content[:end], content[end:]
+}
+
+// eventID returns the ID of an event, or "", and whether the event has data.
+func eventID(event []byte) (id string, data bool) {
+	for line := range bytes.Lines(event) {
+		if field, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), idPrefix); found {
+			id = string(bytes.TrimSpace(field))
+		}
+		data = data || bytes.HasPrefix(line, dataPrefix)
+	}
+	return id, data
 }
 
 // relayStream relays a stream in complete events. A broken stream is resumed on another server if the route allows it.
@@ -123,9 +147,10 @@
 	return !call.exchange.Disconnected()
 }
 
+// recordLastEvent records after which event the stream could be resumed.
 func (call *call) recordLastEvent(content []byte) {
-	if last := lastID(content); last != "" {
-		call.lastEvent = last
+	if id, events := lastID(content); events {
+		call.lastEvent = id
 	}
 }
 
@@ -135,17 +160,11 @@
 	if err != nil || !call.resumed {
 		return content
 	}
-	var unseen []byte
+	var unseen, event []byte
 	for len(content) > 0 {
-		end := len(content)
-		for _, separator := range eventSeparators {
-			if index := bytes.Index(content, separator); index >= 0 {
-				end = min(end, index+len(separator))
-			}
-		}
-		event := content[:end]
-		content = content[end:]
-		if number, failure := strconv.ParseInt(lastID(event), 10, 64); failure == nil && number <= last {
+		event, content = cutEvent(content)
+		id, _ := eventID(event)
+		if number, failure := strconv.ParseInt(id, 10, 64); failure == nil && number <= last {
 			continue
 		}
 		unseen = append(unseen, event...)
--- a/io/serve/stream_test.go
+++ b/io/serve/stream_test.go
@@ -110,3 +110,27 @@
 	is.Equal(chooseTarget(targets, "same"), chooseTarget(targets, "same"))
 	is.Equal(chooseTarget([]spec.Target{{Service: "only"}}, "x"), "only")
 }
+
+// A stream can be resumed after its last event only if that one has an ID.
+func TestLastEventThatAStreamCanBeResumedAfter(t *testing.T) {
+	for name, test := range map[string]struct {
+		content string
+		want    string
+	}{
+		"one":                 {"id: 4\ndata: a\n\n", "4"},
+		"some":                {"id: 4\ndata: a\n\nid: 5\ndata: b\n\n", "5"},
+		"last line":           {"data: a\r\nid: 4\r\n\r\n", "4"},
+		"comment":             {": alive\n\n", "3"},
+		"comment at the end":  {"id: 4\ndata: a\n\n: alive\n\n", "4"},
+		"no ID":               {"data: a\n\n", ""},
+		"no ID at the end":    {"id: 4\ndata: a\n\ndata: b\n\n", ""},
+		"no ID at the start":  {"data: a\n\nid: 4\ndata: b\n\n", "4"},
+		"ID in another event": {"data: id: 9\n\nid: 4\ndata: id: 9\n\n", "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			call := &call{lastEvent: "3"}
+			call.recordLastEvent([]byte(test.content))
+			is.New(t).Equal(call.lastEvent, test.want)
+		})
+	}
+}
