A mirror is complete up to a version of its own, not up to its newest row

Operators withdrew a key while a host scanned the table in pages, and announced a version of an adapter right after it.

Cause: a scan returns rows of all pages with the version of its first page, up to which they are complete. The mirror raised the version that it is complete to, to that of its newest row, here the adapter's in the last page. Everything that reads this version believed it: decodeOperators did not decode the configuration that came with the next read, whose version is lower; peers that compared proofs with this host took over the version without the row, accepted proofs of freshness, and did not read the store; requests for rows named it as the version after which rows were missing.

Now the mirror has completeTo, which only a scan (its first page), changes of the store and rows of a complete peer raise, and a revision that counts changed rows, by which decoding is skipped. Rows newer than completeTo are used at once, as before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -14,10 +14,11 @@
 type Mirror struct {
 	rows       map[string]lentilproxy.Row
 	tombstones int
-	// version is the version of the newest page that came from the store itself. Changes after it are requested next.
-	version int64
-	// newestRowVersion is the greatest version of a row or a scan. The mirror contains all changes up to it.
-	newestRowVersion int64
+	// completeTo is the version up to which the mirror has all changes. Rows may be newer: a scan takes a while, and its later
+	// pages have rows that changed after the first one, while other such rows are missing.
+	completeTo int64
+	// revision counts the changes of rows.
+	revision int64
 	// historySince is the version after which the mirror has all changes, including deletions. A scan does not contain the
 	// rows that were deleted before it.
 	historySince int64
@@ -26,55 +27,53 @@
 // New returns an empty mirror.
 func New() *Mirror { return &Mirror{rows: map[string]lentilproxy.Row{}} }
 
-// Version returns the version of the store up to which the mirror is complete.
-func (mirror *Mirror) Version() int64 { return mirror.version }
+// CompleteTo returns the version of a change or of a scan up to which the mirror has all changes.
+func (mirror *Mirror) CompleteTo() int64 { return mirror.completeTo }
 
-// NewestRowVersion returns the greatest version of a row or a scan, from the store or from a peer.
-func (mirror *Mirror) NewestRowVersion() int64 { return mirror.newestRowVersion }
+// Revision returns a number that increases whenever a row changes.
+func (mirror *Mirror) Revision() int64 { return mirror.revision }
 
 // Rows returns the rows by key, including tombstones of deleted rows. The caller must not change them.
 func (mirror *Mirror) Rows() map[string]lentilproxy.Row { return mirror.rows }
 
-// Apply applies changes from the store. It reports whether a row of the mirror changed.
+// Apply applies the changes that the store made after a version up to which the mirror was complete. Changes that do not
+// matter may be missing. It reports whether a row of the mirror changed.
 func (mirror *Mirror) Apply(page lentilproxy.Page) bool {
-	changed := mirror.Merge(page.Rows)
-	mirror.version = max(mirror.version, page.Version)
-	return changed
-}
-
-// Replace applies a scan of the whole table. Rows that the scan lacks were deleted before it, unless their version is
-// newer than the scan. It reports whether a row of the mirror changed.
-func (mirror *Mirror) Replace(page lentilproxy.Page) bool {
-	changed := mirror.MergeWhole(page)
-	mirror.version = max(mirror.version, page.Version)
-	return changed
+	newest := int64(0)
+	for _, row := range page.Rows {
+		newest = max(newest, row.Version)
+	}
+	return mirror.merge(page, newest)
 }
 
-// MergeWhole applies the whole table of a peer as of a version, like a scan. It reports whether a row of the mirror
-// changed.
+// MergeWhole applies the whole table, from a scan or a peer that is complete up to the page's version. Rows that the page
+// lacks were deleted, unless their version is newer. It reports whether a row of the mirror changed.
 func (mirror *Mirror) MergeWhole(page lentilproxy.Page) bool {
 	present := make(map[string]struct{}, len(page.Rows))
 	for _, row := range page.Rows {
 		present[row.Key] = struct{}{}
 	}
-	var removed []lentilproxy.Row
+	removed := lentilproxy.Page{Version: page.Version}
 	for key, row := range mirror.rows {
 		if _, found := present[key]; !found && !row.Deleted && row.Version <= page.Version {
-			removed = append(removed, lentilproxy.Row{Key: key, Version: page.Version, Deleted: true})
+			removed.Rows = append(removed.Rows, lentilproxy.Row{Key: key, Version: page.Version, Deleted: true})
 		}
 	}
-	changed := mirror.Merge(removed)
-	changed = mirror.Merge(page.Rows) || changed
-	mirror.newestRowVersion = max(mirror.newestRowVersion, page.Version)
+	changed := mirror.merge(removed, 0)
+	changed = mirror.merge(page, page.Version) || changed
 	mirror.historySince = max(mirror.historySince, page.Version)
 	return changed
 }
 
-// Merge applies rows from a peer. Rows that the peer did not send are unchanged. It reports whether a row of the mirror
-// changed.
-func (mirror *Mirror) Merge(rows []lentilproxy.Row) bool {
+// Merge applies the rows of a peer that is complete up to the page's version, and that sent all its rows that changed after a
+// version up to which this mirror is complete. Other rows are unchanged. It reports whether a row of the mirror changed.
+func (mirror *Mirror) Merge(page lentilproxy.Page) bool { return mirror.merge(page, page.Version) }
+
+// merge applies the rows of a page that is complete up to its version, after which the mirror is complete up to another one.
+func (mirror *Mirror) merge(page lentilproxy.Page, completeTo int64) bool {
 	changed := false
-	for _, row := range rows {
+	mirror.completeTo = max(mirror.completeTo, completeTo)
+	for _, row := range page.Rows {
 		known, found := mirror.rows[row.Key]
 		if found && known.Version >= row.Version {
 			continue
@@ -86,7 +85,7 @@
 			mirror.tombstones++
 		}
 		mirror.rows[row.Key] = row
-		mirror.newestRowVersion = max(mirror.newestRowVersion, row.Version)
+		mirror.revision++
 		changed = true
 	}
 	if mirror.tombstones > maxTombstones {
@@ -114,10 +113,10 @@
 	}
 }
 
-// Since returns the rows that changed after a version, in the order of their versions. If the mirror lacks a part of these
-// changes, Since returns the whole table instead, without deleted rows.
+// Since returns the rows that changed after a version, in the order of their versions, and the version up to which they are
+// complete. If the mirror lacks a part of these changes, Since returns the whole table instead, without deleted rows.
 func (mirror *Mirror) Since(version int64) (page lentilproxy.Page, whole bool) {
-	page.Version, whole = mirror.newestRowVersion, version < mirror.historySince
+	page.Version, whole = mirror.completeTo, version < mirror.historySince
 	for _, row := range mirror.rows {
 		if (whole && !row.Deleted) || (!whole && row.Version > version) {
 			page.Rows = append(page.Rows, row)
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -66,12 +66,12 @@
 			case 0, 1:
 				store.write(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), rapid.IntRange(0, 2).Draw(t, "deleted") == 0)
 			case 2:
-				mirror.Replace(store.scan(rapid.Int64Range(0, store.version()).Draw(t, "version")))
+				mirror.MergeWhole(store.scan(rapid.Int64Range(0, store.version()).Draw(t, "version")))
 			case 3:
 				after := rapid.Int64Range(0, store.version()).Draw(t, "after")
 				mirror.Apply(store.since(after, rapid.Int64Range(after, store.version()).Draw(t, "version")))
 			case 4:
-				peer.Replace(store.scan(store.version()))
+				peer.MergeWhole(store.scan(store.version()))
 				pull(mirror, peer, rapid.Int64Range(0, store.version()).Draw(t, "since"))
 			}
 			for key, row := range mirror.Rows() {
@@ -81,7 +81,7 @@
 				seen[key] = row.Version
 			}
 		}
-		mirror.Replace(store.scan(store.version()))
+		mirror.MergeWhole(store.scan(store.version()))
 		if store.version() > 0 && !equalsStore(mirror, store) {
 			t.Fatalf("after a scan the mirror has the rows %v, the store %v", mirror.Rows(), store.states[store.version()-1])
 		}
@@ -95,7 +95,7 @@
 		mirror.MergeWhole(page)
 		return
 	}
-	mirror.Merge(page.Rows)
+	mirror.Merge(page)
 }
 
 // equalsStore reports whether the rows of a mirror are those of the newest version of a store.
@@ -122,16 +122,16 @@
 			store, mirror, started := &modelStore{}, New(), New()
 			store.write("gone", false)
 			store.write("kept", false)
-			mirror.Replace(store.scan(store.version()))
+			mirror.MergeWhole(store.scan(store.version()))
 			store.write("gone", true)
-			started.Replace(store.scan(store.version()))
+			started.MergeWhole(store.scan(store.version()))
 			if later {
 				after := store.version()
 				store.write("new", false)
 				started.Apply(store.since(after, store.version()))
 			}
-			is.True(started.NewestRowVersion() > mirror.NewestRowVersion()) // The host requests the rows.
-			pull(mirror, started, mirror.NewestRowVersion())
+			is.True(started.CompleteTo() > mirror.CompleteTo()) // The host requests the rows.
+			pull(mirror, started, mirror.CompleteTo())
 			is.True(equalsStore(mirror, store))
 		})
 	}
@@ -151,7 +151,7 @@
 		readers := make([]*reader, 3)
 		start := func(index int) {
 			readers[index] = &reader{mirror: New(), after: store.version()}
-			readers[index].mirror.Replace(store.scan(store.version()))
+			readers[index].mirror.MergeWhole(store.scan(store.version()))
 		}
 		for index := range readers {
 			start(index)
@@ -167,8 +167,8 @@
 				from, to := readers[source], readers[other]
 				from.mirror.Apply(store.since(from.after, store.version()))
 				from.after = store.version()
-				if from.mirror.NewestRowVersion() > to.mirror.NewestRowVersion() {
-					pull(to.mirror, from.mirror, to.mirror.NewestRowVersion())
+				if from.mirror.CompleteTo() > to.mirror.CompleteTo() {
+					pull(to.mirror, from.mirror, to.mirror.CompleteTo())
 				}
 				if !equalsStore(to.mirror, store) {
 					t.Fatal("a host has accepted a proof and lacks a change")
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -100,10 +100,10 @@
 	operators   *tableMirror
 	servers     *tableMirror
 	fleet       *tableMirror
-	// operatorsVersion is the newest row version of the operators' table that has been decoded, and decodedVersions the
-	// version of each of its rows.
-	operatorsVersion int64
-	decodedVersions  map[string]int64
+	// operatorsRevision is the revision of the operators' table that has been decoded, and decodedVersions the version of each
+	// of its rows.
+	operatorsRevision int64
+	decodedVersions   map[string]int64
 	// versionChanges counts the changes of the newest adapter versions.
 	versionChanges int64
 	registry       *lease.Registry
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -83,7 +83,7 @@
 		coordinator.metrics.Counter("fleet_scans_failed").Inc(1)
 		return false
 	}
-	return coordinator.do(func(now time.Time) { control.applyProof(now, sentAt, control.fleet, control.fleet.Replace(page)) })
+	return coordinator.do(func(now time.Time) { control.applyProof(now, sentAt, control.fleet, control.fleet.MergeWhole(page)) })
 }
 
 // observeFleet applies the mirrored rows of hosts and holders.
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -128,7 +128,7 @@
 	}
 	table.failingSince = requestedAt
 	control.coordinator.log.Info("dependency lost", "dependency", "store", "table", table.name, "error", err.Error(),
-		"version", table.NewestRowVersion(), "proof_age_ms", now.Sub(table.provenAt).Milliseconds())
+		"version", table.CompleteTo(), "proof_age_ms", now.Sub(table.provenAt).Milliseconds())
 }
 
 // applyPage applies a page read from the store.
@@ -147,7 +147,7 @@
 	}
 	apply := table.Apply
 	if scanned {
-		apply = table.Replace
+		apply = table.MergeWhole
 	}
 	control.applyProof(now, requestedAt, table, apply(page))
 }
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -32,7 +32,8 @@
 	ReceivedID int64 `json:"received,omitempty"`
 	// Members is the number of hosts that the sender divides limits over.
 	Members int `json:"members"`
-	// NewestVersions maps tables to the newest row version in the host's mirror. A response contains proofs instead.
+	// NewestVersions maps tables to the versions up to which the host's mirrors are complete. A response contains proofs
+	// instead.
 	NewestVersions map[string]int64 `json:"newest,omitempty"`
 	// Usage maps servers to the load that the host's requests put on them.
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
@@ -231,7 +232,7 @@
 	message, revisions := control.composeMessage(now, peer)
 	message.NewestVersions = map[string]int64{}
 	for _, table := range control.tables() {
-		message.NewestVersions[table.name] = table.NewestRowVersion()
+		message.NewestVersions[table.name] = table.CompleteTo()
 	}
 	go control.exchange(peer, message, revisions)
 }
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -25,10 +25,10 @@
 // many adapters and routes.
 func (control *control) decodeOperators(next *spec.View) {
 	coordinator := control.coordinator
-	if control.operators.NewestRowVersion() == control.operatorsVersion {
+	if control.operators.Revision() == control.operatorsRevision {
 		return
 	}
-	control.operatorsVersion = control.operators.NewestRowVersion()
+	control.operatorsRevision = control.operators.Revision()
 	cloned := false
 	for key, row := range control.operators.Rows() {
 		if row.Deleted || control.decodedVersions[key] == row.Version {
--- a/io/coord/publish_test.go
+++ b/io/coord/publish_test.go
@@ -17,7 +17,7 @@
 	decoded := func(rows ...lentilproxy.Row) int {
 		var count int
 		coordinator.do(func(now time.Time) {
-			control.servers.Merge(rows)
+			control.servers.Apply(lentilproxy.Page{Rows: rows, Version: rows[len(rows)-1].Version})
 			control.publish(now)
 			count = len(control.decoded)
 		})
@@ -48,10 +48,29 @@
 		for number := range 1000 {
 			rows = append(rows, lentilproxy.Row{Key: fmt.Sprint("version/", number), Version: int64(number + 1)})
 		}
-		control.operators.Merge(rows)
+		control.operators.Apply(lentilproxy.Page{Rows: rows, Version: 1000})
 		control.publish(now)
-		control.operators.Merge([]lentilproxy.Row{{Key: "version/7", Version: 2000}, {Key: "version/8", Version: 2001, Deleted: true}})
+		control.operators.Apply(lentilproxy.Page{Version: 2001, Rows: []lentilproxy.Row{{Key: "version/7", Version: 2000}, {Key: "version/8", Version: 2001, Deleted: true}}})
 		control.publish(now)
 	})
 	is.Equal(decoder.decoded.Load(), int64(1001))
 }
+
+// Guards against a change that is never decoded: a scan in pages may contain a newer row of a later page, and lack an older one
+// that a page before it should have contained. That row arrives afterwards.
+func TestOlderRowsThatArriveLaterAreDecoded(t *testing.T) {
+	is := is.New(t)
+	coordinator := newIdleCoordinator(t)
+	control := coordinator.traffic.control
+	decoder := coordinator.decoder.(*countingDecoder)
+	coordinator.do(func(now time.Time) {
+		control.operators.MergeWhole(lentilproxy.Page{Version: 4, Rows: []lentilproxy.Row{{Key: "config", Version: 3}, {Key: "version/a", Version: 6}}})
+		control.publish(now)
+		is.Equal(decoder.decoded.Load(), int64(2))
+		is.Equal(control.proofs(now)["operators"].Newest, int64(4))
+		control.operators.Apply(lentilproxy.Page{Version: 6, Rows: []lentilproxy.Row{{Key: "config", Version: 5}, {Key: "version/a", Version: 6}}})
+		control.publish(now)
+		is.Equal(decoder.decoded.Load(), int64(3))
+		is.Equal(control.proofs(now)["operators"].Newest, int64(6))
+	})
+}
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -15,14 +15,15 @@
 	fleetPullInterval = 600 * time.Millisecond
 )
 
-// proof states that the sender's mirror of a table was complete up to a row version some time ago.
+// proof states that the sender's mirror of a table was complete some time ago. Newest is the version up to which it has all
+// changes.
 type proof struct {
 	Newest int64 `json:"newest"`
 	AgeMS  int64 `json:"age_ms"`
 }
 
 type rowsParams struct {
-	// After maps each requested table to the newest row version in the caller's mirror.
+	// After maps each requested table to the version up to which the caller's mirror is complete.
 	After map[string]int64 `json:"after"`
 }
 
@@ -41,10 +42,10 @@
 		known, found := proofs[table.name]
 		switch {
 		case !found:
-		case known.Newest > table.NewestRowVersion():
+		case known.Newest > table.CompleteTo():
 			if !table.pulling && now.Sub(table.pulledAt) >= table.pullInterval {
 				table.pulling, table.pulledAt = true, now
-				params.After[table.name] = table.NewestRowVersion()
+				params.After[table.name] = table.CompleteTo()
 			}
 		case known.AgeMS >= 0:
 			control.applyProof(now, requestedAt.Add(-time.Duration(known.AgeMS)*time.Millisecond), table, false)
@@ -93,7 +94,7 @@
 			}
 			changed, whole := result.merge(table, rows)
 			if changed && table.name != control.fleet.name {
-				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.NewestRowVersion())
+				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.CompleteTo())
 			}
 			control.applyProof(now, provenAt, table, changed)
 		}
@@ -106,7 +107,7 @@
 	if whole {
 		return table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version}), true
 	}
-	return table.Merge(rows), false
+	return table.Merge(lentilproxy.Page{Rows: rows, Version: result.Proofs[table.name].Newest}), false
 }
 
 // proofs returns the host's proofs for its mirrors. The age is -1 for a table that the host has no proof for.
@@ -118,7 +119,7 @@
 			// The age is rounded up, so that a proof does not become younger in transit.
 			age = now.Sub(table.provenAt).Milliseconds() + 1
 		}
-		proofs[table.name] = proof{Newest: table.NewestRowVersion(), AgeMS: age}
+		proofs[table.name] = proof{Newest: table.CompleteTo(), AgeMS: age}
 	}
 	return proofs
 }
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -77,10 +77,10 @@
 	DecodeServer(row Row) (spec.Server, error)
 }
 
-// Page holds rows of a table as of one version.
+// Page holds rows of a table.
 type Page struct {
 	Rows []Row
-	// Version is the newest version of the store when the page was read.
+	// Version is the version of the store up to which the rows are complete. Some rows may be newer.
 	Version int64
 }
 
