No connection carries a request twice

Servers that were full rejected an order as not run, and sent the rejection a second time, late.

Cause: a rejected request is sent again under the same identifier, which it must keep, and the pool returned the connection that had been used last, so that it was often the same one. There the copy of the rejection has the identifier that the response to the next attempt must have. The host took it for that response, sent the request a third time, and the server ran the second and the third. The state that was not looked at is which connections have carried the request: nothing recorded it, and only the choice of a connection and the match of responses had to read it.

Now each call records the connections of its attempts, and the pool passes over them. At the limit of connections, the new one replaces an idle one, so that no request is refused for it. Connections on which a request was rejected are used for other requests as before. The own interface opens a connection for each request, and is not affected.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -74,6 +74,25 @@
 	Body   []byte
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, header http.Header) bool
+	// Attempts holds the connections of earlier attempts to send this request, on which it is not sent again; nil for none.
+	Attempts *Attempts
+}
+
+// Attempts holds the connections on which a request has been sent. No connection carries a request twice: a late copy of the
+// response to one attempt could not be told from the response to the next. The zero value is empty. It is not safe for
+// concurrent use.
+type Attempts struct{ conns []*conn }
+
+// has reports whether an attempt was made on a connection.
+func (attempts *Attempts) has(conn *conn) bool {
+	return attempts != nil && slices.Contains(attempts.conns, conn)
+}
+
+// add records an attempt.
+func (attempts *Attempts) add(conn *conn) {
+	if attempts != nil {
+		attempts.conns = append(attempts.conns, conn)
+	}
 }
 
 // serverKey identifies one incarnation of a server at one address.
@@ -203,22 +222,40 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection that is still usable, or nil.
-func (pool *Pool) takeIdle(now time.Time, key serverKey) *conn {
+// take removes and returns the most recently used idle connection that is still usable and has carried none of the attempts. If
+// there is none, it returns nil and counts a connection, which the caller has to open. At the limit, that one replaces an idle
+// connection, or take returns ErrBusy.
+func (pool *Pool) take(now time.Time, key serverKey, attempts *Attempts, limit int) (*conn, error) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	idle := pool.idle[key]
-	for len(idle) > 0 {
-		entry := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		pool.idle[key] = idle
+	for index := len(pool.idle[key]) - 1; index >= 0; index-- {
+		entry := pool.idle[key][index]
+		if attempts.has(entry.conn) {
+			continue
+		}
+		pool.removeIdle(key, index)
 		if now.Sub(entry.since) < entry.conn.idleTimeout && entry.conn.usable() {
-			return entry.conn
+			return entry.conn, nil
 		}
 		pool.closeConn(entry.conn)
 	}
-	delete(pool.idle, key)
-	return nil
+	if limit > 0 && pool.open[key] >= limit {
+		if len(pool.idle[key]) == 0 {
+			return nil, ErrBusy
+		}
+		replaced := pool.idle[key][0].conn
+		pool.removeIdle(key, 0)
+		pool.closeConn(replaced)
+	}
+	pool.open[key]++
+	return nil, nil
+}
+
+// removeIdle removes an idle connection. The caller holds the mutex.
+func (pool *Pool) removeIdle(key serverKey, index int) {
+	if pool.idle[key] = slices.Delete(pool.idle[key], index, index+1); len(pool.idle[key]) == 0 {
+		delete(pool.idle, key)
+	}
 }
 
 // putIdle keeps a connection for a later request. The caller holds the mutex.
@@ -232,7 +269,7 @@
 	if pool.hasIdle(clock.Now(), serverKey{incarnation: server.Incarnation(), address: server.Address}) {
 		return nil
 	}
-	conn, err := pool.connect(ctx, server)
+	conn, err := pool.connect(ctx, server, nil)
 	if err != nil {
 		return err
 	}
@@ -251,20 +288,12 @@
 	})
 }
 
-// connect returns an idle or a new connection to a server.
-func (pool *Pool) connect(ctx context.Context, server spec.Server) (*conn, error) {
+// connect returns an idle connection to a server that has carried none of the attempts, or a new one.
+func (pool *Pool) connect(ctx context.Context, server spec.Server, attempts *Attempts) (*conn, error) {
 	key := serverKey{incarnation: server.Incarnation(), address: server.Address}
-	if reused := pool.takeIdle(clock.Now(), key); reused != nil {
-		return reused, nil
+	if reused, err := pool.take(clock.Now(), key, attempts, pool.limit(server.Service)); reused != nil || err != nil {
+		return reused, err
 	}
-	limit := pool.limit(server.Service)
-	pool.mutex.Lock()
-	if limit > 0 && pool.open[key] >= limit {
-		pool.mutex.Unlock()
-		return nil, ErrBusy
-	}
-	pool.open[key]++
-	pool.mutex.Unlock()
 	raw, err := pool.dialer.DialContext(ctx, "tcp", server.Address)
 	conn := &conn{pool: pool, key: key, raw: raw, idleTimeout: defaultIdleTimeout}
 	if err != nil {
@@ -290,13 +319,14 @@
 // The errors are ErrNotSent, ErrBusy and ErrBroken, joined with their causes. If the context is cancelled, the request
 // and the reading of the response fail.
 func (pool *Pool) Do(ctx context.Context, server spec.Server, request *Request) (*Response, error) {
-	conn, err := pool.connect(ctx, server)
+	conn, err := pool.connect(ctx, server, request.Attempts)
 	if errors.Is(err, ErrBusy) {
 		return nil, err
 	}
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	request.Attempts.add(conn)
 	response := &Response{conn: conn}
 	response.detach = context.AfterFunc(ctx, func() { _ = conn.raw.SetDeadline(time.Unix(1, 0)) })
 	if err = response.exchange(request); err != nil {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -27,6 +27,14 @@
 // newFakeServer starts a server. The function receives the number and the ID of each request, writes the response, and
 // returns whether to keep the connection open.
 func newFakeServer(t *testing.T, serve func(conn net.Conn, number int, id string) bool) *fakeServer {
+	t.Helper()
+	return newRequestServer(t, func(conn net.Conn, number int, request *http.Request) bool {
+		return serve(conn, number, request.Header.Get("X-Id"))
+	})
+}
+
+// newRequestServer starts a server like newFakeServer. The function receives the requests.
+func newRequestServer(t *testing.T, serve func(conn net.Conn, number int, request *http.Request) bool) *fakeServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +58,7 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, request.Body)
-					if !serve(conn, int(fakeServer.requests.Add(1)), request.Header.Get("X-Id")) {
+					if !serve(conn, int(fakeServer.requests.Add(1)), request) {
 						return
 					}
 				}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -304,6 +304,7 @@
 		Matches: func(status int, header http.Header) bool {
 			return call.service.dialect.DecodeResponse(status, header).ID == call.info.ID
 		},
+		Attempts: &call.attempts,
 	}
 }
 
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -108,6 +108,8 @@
 	run *block.Run
 	// avoid holds the servers to which this request is not sent again.
 	avoid value.Set[string]
+	// attempts holds the connections on which the request has been sent.
+	attempts link.Attempts
 	// full holds the servers that could not load the adapter.
 	full value.Set[string]
 	// servers holds the servers to which the request was sent, for the log.
