Each order has a connection of its own

A server that sends copies of its responses to orders, late, could be ordered to load more adapters than it has room for, and crash with the streams on it.

A copy of a 200 to an unload, taken for the response to an unload that waits for its requests, frees a place that is taken; a second one can make the expected sequence fit again.

Orders are now sent on a connection each, as on the own interface. Polls of a load that the server has accepted, and reports, share a connection as before: an outcome or a report that belongs to an earlier one does no harm, however many there are.

--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -72,7 +72,9 @@
 	if controller.model == "" || (!ordered && !mayLoad) || (ordered && now.Sub(controller.modelOrderAt) < pollSlow) {
 		return lentilproxy.Order{}, false
 	}
-	return controller.order(lentilproxy.Load, "", 0), true
+	order := controller.order(lentilproxy.Load, "", 0)
+	order.Poll = ordered
+	return order, true
 }
 
 func (controller *Controller) order(kind lentilproxy.OrderKind, adapter string, version int64) lentilproxy.Order {
@@ -90,7 +92,9 @@
 		}
 		switch {
 		case entry.phase == loading || entry.replacing:
-			return controller.order(lentilproxy.Load, name, controller.versions[name]), true
+			order := controller.order(lentilproxy.Load, name, controller.versions[name])
+			order.Poll = true
+			return order, true
 		case entry.phase == unloading:
 			return controller.order(lentilproxy.Unload, name, 0), true
 		}
--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -59,7 +59,7 @@
 	hosted.coordinator = coord.New(settings, coord.Platform{
 		Store:   platform.NewStore(settings.Platform.Store, coord.NewHTTPClient(dialer, storeConnections), scope),
 		Decoder: platform.RowDecoder{},
-		Orders:  platform.NewOrders(coord.NewHTTPClient(dialer, 1), scope),
+		Orders:  platform.NewOrders(coord.NewHTTPClient(dialer, 1), coord.NewHTTPClient(dialer, 0), scope),
 	}, opened.open[peersListenerIndex], coord.WithLog(log), coord.WithMetrics(scope))
 	connections := scope.Counter("server_connections")
 	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOnOpen(func() { connections.Inc(1) }))
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -151,6 +151,9 @@
 	Token  int64
 	// Sequence is the number of orders that the server must have accepted before this one.
 	Sequence int64
+	// Poll is set if the order repeats a load that the server has accepted, to learn whether it is complete. An outcome that
+	// belongs to an earlier poll does no harm.
+	Poll bool
 }
 
 // OrderOutcome is a server's response to an order.
