Nothing follows a part of a response that could not be sent

A caller that did not read for 10 s while the beginning of a long response was written could get a part of it, and, if it read on, all that followed: a response that lacks bytes in its middle and looks complete.

Cause: Begin did not say whether it could send, and no write looked at whether the one before had failed. Only what follows Begin depended on it: relayLongResponse, whose beginning exceeds the buffers of a socket. The others stop at the first failed write.

The exchange now remembers a failed write and sends nothing after it, so that it is never complete, and Begin reports it.

Evidence: TestNothingFollowsAPartThatCouldNotBeSent failed before.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -24,6 +24,8 @@
 	// begun is set once a part of the response may have been sent, and complete once all of it has been sent.
 	begun    bool
 	complete bool
+	// failed is set once a part could not be sent. Of that part the caller may have received the beginning.
+	failed bool
 	// lastResponse is set if the response has a Connection: close header.
 	lastResponse bool
 	chunked      bool
@@ -67,19 +69,19 @@
 }
 
 // Begin sends the status line, the headers and the first part of a response of unknown length. Like Respond, it sends nothing
-// if another one has begun.
-func (exchange *Exchange) Begin(status int, header http.Header, first []byte) {
+// if another one has begun. It reports whether the part could be sent.
+func (exchange *Exchange) Begin(status int, header http.Header, first []byte) bool {
 	if exchange.begun {
-		return
+		return false
 	}
 	out := exchange.newHead(status, header)
 	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 	exchange.chunked = true
 	appendChunk(out, first)
-	exchange.write(out.Bytes())
+	return exchange.write(out.Bytes())
 }
 
-// Write sends a part of a response that has begun. It reports whether the part could be sent.
+// Write sends a part of a response that has begun. It reports whether this part and all before it could be sent.
 func (exchange *Exchange) Write(part []byte) bool {
 	var out bytes.Buffer
 	appendChunk(&out, part)
@@ -94,7 +96,8 @@
 	_, _ = writer.Write(part)
 }
 
-// End marks a response that has begun as complete. Without it, the caller receives a truncated response.
+// End marks a response that has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
+// truncated response.
 func (exchange *Exchange) End() {
 	exchange.complete = exchange.write([]byte("0\r\n\r\n"))
 }
@@ -114,8 +117,12 @@
 }
 
 func (exchange *Exchange) write(content []byte) bool {
+	if exchange.failed {
+		return false
+	}
 	exchange.begun = true
 	_ = exchange.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := exchange.conn.raw.Write(content)
+	exchange.failed = err != nil
 	return err == nil
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -431,3 +432,47 @@
 		})
 	}
 }
+
+// shortWriter is a connection that sends a part of each write, and fails on the writes before a number of them.
+type shortWriter struct {
+	net.Conn
+	written  bytes.Buffer
+	failures int
+}
+
+// Write implements net.Conn.
+func (writer *shortWriter) Write(content []byte) (int, error) {
+	if writer.failures > 0 {
+		writer.failures--
+		count, _ := writer.written.Write(content[:len(content)/2])
+		return count, os.ErrDeadlineExceeded
+	}
+	return writer.written.Write(content)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (*shortWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against a response that lacks bytes in its middle and looks complete: a caller that does not read for writeTimeout may get
+// a part of a write, and read on afterwards.
+func TestNothingFollowsAPartThatCouldNotBeSent(t *testing.T) {
+	for name, whole := range map[string]bool{"the beginning": false, "a later part": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			writer := &shortWriter{}
+			server, _ := newServer(t, &recorder{})
+			exchange := &Exchange{conn: &conn{server: server, raw: writer}}
+			if !whole {
+				writer.failures = 1
+			}
+			is.Equal(exchange.Begin(http.StatusOK, http.Header{}, []byte("first")), whole)
+			writer.failures = 1
+			is.True(!exchange.Write([]byte("second")))
+			sent := writer.written.Len()
+			is.True(!exchange.Write([]byte("third")))
+			exchange.End()
+			is.Equal(writer.written.Len(), sent)
+			is.True(!exchange.complete)
+		})
+	}
+}
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -141,7 +141,9 @@
 // relayLongResponse relays a response while it is read.
 func (call *call) relayLongResponse(server spec.Server, run *sched.Run, response *link.Response, first []byte) (attemptResult, *refuse.Refusal) {
 	call.service.coordinator.Traffic().RecordFirstEvent(clock.Now(), run)
-	call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), first)
+	if !call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), first) {
+		return call.handleCallerGone(server)
+	}
 	buffer := make([]byte, maxBufferedBytes)
 	for {
 		count, err := response.Read(buffer)
@@ -162,9 +164,10 @@
 	}
 }
 
-func (call *call) begin(status int, header http.Header, first []byte) {
+// begin sends the beginning of a response. It reports whether the caller could receive it.
+func (call *call) begin(status int, header http.Header, first []byte) bool {
 	call.firstEventAt, call.status, call.outcome = clock.Now(), status, "answered"
-	call.exchange.Begin(status, header, first)
+	return call.exchange.Begin(status, header, first) && !call.exchange.Disconnected()
 }
 
 func (call *call) respond(status int, header http.Header, content []byte) {
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -143,8 +143,7 @@
 		return len(content) == 0 || call.exchange.Write(content)
 	}
 	call.recordLastEvent(content)
-	call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), content)
-	return !call.exchange.Disconnected()
+	return call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), content)
 }
 
 // recordLastEvent records after which event the stream could be resumed.
