Connections for orders are opened ahead

A load in a full server takes two such orders, and orders of one server follow one another.

While orders to one server follow each other closely, the connection for the next one is opened as soon as one begins.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -274,11 +274,11 @@
 }
 
 // NewHTTPClient returns an HTTP client for the store or for orders that keeps up to the given number of idle connections to
-// each address, or that opens one for each call if it is 0. The dialer has to detect connections whose other end no longer
+// each address, or that takes one from dial for each call if it is 0. The connections have to detect that their other end no longer
 // responds.
-func NewHTTPClient(dialer *net.Dialer, connections int) *http.Client {
+func NewHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		Proxy: nil, DialContext: dialer.DialContext, DisableCompression: true,
+		Proxy: nil, DialContext: dial, DisableCompression: true,
 		MaxIdleConnsPerHost: connections, DisableKeepAlives: connections == 0, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -37,6 +37,7 @@
 	coordinator  *coord.Coordinator
 	front        *front.Server
 	links        *link.Pool
+	orders       *link.Ahead
 	listeners    *listeners
 	stopping     atomic.Bool
 	closeMetrics func() error
@@ -56,10 +57,11 @@
 	scope, metrics, closeMetrics := newMetrics()
 	hosted.closeMetrics = closeMetrics
 	dialer := link.Dialer()
+	hosted.orders = link.NewAhead(dialer, log)
 	hosted.coordinator = coord.New(settings, coord.Platform{
-		Store:   platform.NewStore(settings.Platform.Store, coord.NewHTTPClient(dialer, storeConnections), scope),
+		Store:   platform.NewStore(settings.Platform.Store, coord.NewHTTPClient(dialer.DialContext, storeConnections), scope),
 		Decoder: platform.RowDecoder{},
-		Orders:  platform.NewOrders(coord.NewHTTPClient(dialer, 1), coord.NewHTTPClient(dialer, 0), scope),
+		Orders:  platform.NewOrders(coord.NewHTTPClient(dialer.DialContext, 1), coord.NewHTTPClient(hosted.orders.DialContext, 0), scope),
 	}, opened.open[peersListenerIndex], coord.WithLog(log), coord.WithMetrics(scope))
 	connections := scope.Counter("server_connections")
 	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOnOpen(func() { connections.Inc(1) }))
@@ -107,6 +109,7 @@
 func (hosted *Hosted) close() {
 	hosted.front.Close()
 	hosted.links.Close()
+	hosted.orders.Close()
 	hosted.listeners.close()
 	_ = hosted.closeMetrics()
 }
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -58,11 +58,11 @@
 }
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
-func (conn *conn) usable() bool {
-	if conn.reader.Buffered() > 0 {
-		return false
-	}
-	socket, isSocket := conn.raw.(syscall.Conn)
+func (conn *conn) usable() bool { return conn.reader.Buffered() == 0 && silent(conn.raw) }
+
+// silent reports whether a connection is open and nothing has arrived on it that has not been read.
+func silent(conn net.Conn) bool {
+	socket, isSocket := conn.(syscall.Conn)
 	if !isSocket {
 		return true
 	}
@@ -70,14 +70,14 @@
 	if err != nil {
 		return false
 	}
-	usable := false
+	open := false
 	err = raw.Read(func(descriptor uintptr) bool {
 		var buffer [1]byte
 		_, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = errors.Is(peekErr, unix.EAGAIN)
+		open = errors.Is(peekErr, unix.EAGAIN)
 		return true
 	})
-	return err == nil && usable
+	return err == nil && open
 }
 
 // Response is the response of a backend server. The caller must close it.
