Servers that crash together count one by one if requests have begun

Requests with such a part begin, so five crashes are needed, and servers that fail together counted once: three.

Now a part whose requests have begun is blocked after five servers have crashed, at three different times at least. What protects sound parts against servers that fail together (a host that loses its power) stays: no part is blocked after crashes at one or two times, and none of which a request has survived since the first. Parts whose requests have not begun, and repeats, need three different times as before.

Evidence: the case "five servers at three times after events began" of TestDecideBlocks failed before; its neighbours, with four servers or at two times, hold on both.

--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -11,8 +11,8 @@
 	// CrashesToBlock is the number of crashes after which requests with a part are blocked, if none of them has begun in
 	// the meantime.
 	CrashesToBlock = 3
-	// BegunCrashesToBlock is the number of crashes if some requests with a part that other requests have too have begun but
-	// none has survived.
+	// BegunCrashesToBlock is the number of crashes, including those of servers that fail together, if some requests with a part
+	// that other requests have too have begun but none has survived.
 	BegunCrashesToBlock = 5
 	// SettleTime is the age that a crash needs to count: other hosts may still hear from the server, or from requests
 	// with the same parts.
@@ -57,11 +57,11 @@
 // Analyzer finds the parts of requests that crash servers, from the requests that were in flight at each crash. It is not
 // safe for concurrent use.
 //
-// A part counts as the cause once it was in flight at CrashesToBlock crashes, or at BegunCrashesToBlock if some requests
-// with it have begun, and no request with it has survived since the first of them. Servers that fail together count once: a
-// further crash must be crashSpacing later, or a request with the part must have been sent after the one before. Of several
-// such parts the most specific one is blocked, along with the parts that always accompany it, unless these have been seen
-// to be sound.
+// A part counts as the cause once it was in flight at CrashesToBlock crashes, and no request with it has survived since the
+// first of them. Servers that fail together count once: a further crash must be crashSpacing later, or a request with the part
+// must have been sent after the one before. If some requests with the part have begun, BegunCrashesToBlock servers must have
+// crashed too, some of them together. Of several such parts the most specific one is blocked, along with the parts that always
+// accompany it, unless these have been seen to be sound.
 type Analyzer struct {
 	crashes   map[string]*evidence
 	sightings map[Part]Sighting
@@ -214,13 +214,14 @@
 // suspicion is the evidence against one part.
 type suspicion struct {
 	part Part
-	// strikes counts the crashes that count against the part, and first and last are the times of the first and last of them.
+	// strikes counts the crashes against the part, those of servers that fail together once, and first and last are the times of
+	// the first and last of them.
 	strikes int
 	first   time.Time
 	last    time.Time
 	// requests are all requests with the part at those crashes.
 	requests []Request
-	// crashes are the keys of those crashes.
+	// crashes are the keys of all those crashes.
 	crashes []string
 }
 
@@ -290,11 +291,8 @@
 
 // proven reports whether the evidence suffices for a verdict.
 func (analyzer *Analyzer) proven(against *suspicion) bool {
-	needed := CrashesToBlock
-	if !against.part.whole() && analyzer.sightings[against.part].BegunAt.After(against.first) {
-		needed = BegunCrashesToBlock
-	}
-	return against.strikes >= needed
+	begun := !against.part.whole() && analyzer.sightings[against.part].BegunAt.After(against.first)
+	return against.strikes >= CrashesToBlock && (!begun || len(against.crashes) >= BegunCrashesToBlock)
 }
 
 // Repeated returns the parts that identify requests that were in flight at CrashesToRefuse crashes and have not survived
--- a/core/crash/analyzer_test.go
+++ b/core/crash/analyzer_test.go
@@ -71,6 +71,24 @@
 		"servers that fail together":      {[]step{crashed(1000, "s1", request(900, "a")), crashed(1010, "s2", request(900, "a")), crashed(1020, "s3", request(900, "a"))}, 9000, nil},
 		"requests that waited long":       {[]step{crashed(1000, "s1", request(0, "bad")), crashed(1400, "s2", request(0, "bad")), crashed(1800, "s3", request(0, "bad"))}, 9000, [][]string{{"bad"}}},
 		"five crashes after events began": {append(slices.Clone(three), begun(1500, "bad"), begun(1500, "a"), crashed(4000, "s4", request(3900, "bad")), crashed(5000, "s5", request(4900, "bad"))), 9000, [][]string{{"bad"}}},
+		"five servers at three times after events began": {
+			[]step{
+				crashed(1000, "s1", request(960, "a", "bad")), begun(1500, "bad"), begun(1500, "a"), crashed(1240, "s2", request(1200, "a", "bad")),
+				crashed(1241, "s3", request(1201, "bad")), crashed(1480, "s4", request(1440, "bad")), crashed(1481, "s5", request(1440, "bad")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"four servers at three times after events began": {
+			[]step{
+				crashed(1000, "s1", request(960, "a", "bad")), begun(1500, "bad"), begun(1500, "a"), crashed(1240, "s2", request(1200, "bad")),
+				crashed(1480, "s3", request(1440, "bad")), crashed(1481, "s4", request(1440, "bad")),
+			}, 9000, nil,
+		},
+		"six servers at two times after events began": {
+			[]step{
+				crashed(1000, "s1", request(960, "a", "bad")), crashed(1001, "s2", request(960, "a", "bad")), crashed(1002, "s3", request(960, "bad")), begun(1500, "bad"), begun(1500, "a"),
+				crashed(1480, "s4", request(1440, "bad")), crashed(1481, "s5", request(1440, "bad")), crashed(1482, "s6", request(1440, "bad")),
+			}, 9000, nil,
+		},
 		"sound requests on the same server": {
 			[]step{
 				crashed(1000, "s1", request(900, "a", "bad"), request(900, "a")), crashed(2000, "s2", request(1900, "a", "bad"), request(1900, "a")),
