--- a/io/link/ahead_test.go
+++ b/io/link/ahead_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,30 +13,8 @@
 	"github.com/matryer/is"
 )
 
-// aheadServer counts the connections that it accepts, and what it does with each is up to a function.
-func aheadServer(t *testing.T, serve func(conn net.Conn)) (address string, accepted *atomic.Int64) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	accepted = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			accepted.Add(1)
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String(), accepted
-}
-
 // keepOpen reads until the connection ends.
-func keepOpen(conn net.Conn) {
+func keepOpen(_ *fakeServer, conn net.Conn) {
 	_, _ = io.Copy(io.Discard, conn)
 	_ = conn.Close()
 }
@@ -87,11 +64,12 @@
 // Guards against orders that wait for their connections, which delays each load of an adapter by two round trips.
 func TestConnectionsAreOpenedAhead(t *testing.T) {
 	is := is.New(t)
-	address, accepted := aheadServer(t, keepOpen)
+	server := newConnServer(t, keepOpen)
+	address := server.address
 	ahead := newAhead(t)
 	dial(t, ahead, address)
 	time.Sleep(50 * time.Millisecond)
-	is.Equal(accepted.Load(), int64(1)) // nothing shows yet that others follow
+	is.Equal(server.conns.Load(), int64(1)) // nothing shows yet that others follow
 	dial(t, ahead, address)
 	for range 5 {
 		is.True(ahead.opened(address))
@@ -99,7 +77,7 @@
 		is.Equal(dial(t, ahead, address), next)
 	}
 	is.True(ahead.opened(address))
-	is.Equal(accepted.Load(), int64(8))
+	is.Equal(server.conns.Load(), int64(8))
 	is.Equal(ahead.spare("127.0.0.1:1"), nil) // other addresses have their own
 }
 
@@ -137,11 +115,14 @@
 // What is opened ahead is not used once the server has closed it or sent anything, or once it is old.
 func TestConnectionsOpenedAheadThatCannotBeUsed(t *testing.T) {
 	for name, test := range map[string]struct {
-		serve   func(conn net.Conn)
+		serve   func(server *fakeServer, conn net.Conn)
 		prepare func(ahead *Ahead, address string)
 	}{
-		"closed by the server": {func(conn net.Conn) { _ = conn.Close() }, nil},
-		"with unasked bytes":   {func(conn net.Conn) { write(conn, "HTTP/1.1 200 OK\r\n\r\n"); keepOpen(conn) }, nil},
+		"closed by the server": {func(_ *fakeServer, conn net.Conn) { _ = conn.Close() }, nil},
+		"with unasked bytes": {func(server *fakeServer, conn net.Conn) {
+			write(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			keepOpen(server, conn)
+		}, nil},
 		"old, after a suspension of the host": {keepOpen, func(ahead *Ahead, address string) {
 			ahead.mutex.Lock()
 			defer ahead.mutex.Unlock()
@@ -150,7 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address, _ := aheadServer(t, test.serve)
+			address := newConnServer(t, test.serve).address
 			ahead := newAhead(t)
 			dial(t, ahead, address)
 			dial(t, ahead, address)
@@ -174,7 +155,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address, _ := aheadServer(t, keepOpen)
+			address := newConnServer(t, keepOpen).address
 			ahead := newAhead(t)
 			first, second := dial(t, ahead, address), dial(t, ahead, address)
 			is.True(ahead.opened(address))
@@ -194,7 +175,7 @@
 // A connection that is opened only after its time is closed.
 func TestConnectionOpenedTooLateIsClosed(t *testing.T) {
 	is := is.New(t)
-	address, _ := aheadServer(t, keepOpen)
+	address := newConnServer(t, keepOpen).address
 	ahead := newAhead(t)
 	outdated := &spare{opening: true}
 	ahead.open("tcp", address, outdated)
--- a/io/link/harness_test.go
+++ b/io/link/harness_test.go
@@ -31,6 +31,25 @@
 
 // newRequestServer starts a server like newFakeServer. The function receives the requests.
 func newRequestServer(t *testing.T, serve func(conn net.Conn, number int, request *http.Request) bool) *fakeServer {
+	t.Helper()
+	return newConnServer(t, func(fakeServer *fakeServer, conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if !serve(conn, int(fakeServer.requests.Add(1)), request) {
+				return
+			}
+		}
+	})
+}
+
+// newConnServer starts a server that counts its connections. The function serves one of them and closes it.
+func newConnServer(t *testing.T, serve func(fakeServer *fakeServer, conn net.Conn)) *fakeServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,20 +64,7 @@
 				return
 			}
 			fakeServer.conns.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if !serve(conn, int(fakeServer.requests.Add(1)), request) {
-						return
-					}
-				}
-			}()
+			go serve(fakeServer, conn)
 		}
 	}()
 	return fakeServer
