Tests: drawn attempts may fail because a connection is not opened in time

Its own comment says that an attempt may fail, and that its response is never that to another one; but an attempt that was not sent ended the test.

The kernel counted SYN packets that were sent again (TCPSynRetrans 3; no overflow of a listen queue), which takes one second, while dialing may take 400 ms. The test opens tens of thousands of connections to one port.

Such attempts no longer end the test, but it fails if they are more than one in a thousand. Other errors end it as before.

--- a/io/link/attempts_test.go
+++ b/io/link/attempts_test.go
@@ -35,6 +35,9 @@
 	headerCopies = "X-Copies"
 )
 
+// maxUnopened is the number of attempts of which one may fail because its connection is not opened in time.
+const maxUnopened = 1000
+
 func newCopyServer(t *testing.T) *copyServer {
 	t.Helper()
 	server := &copyServer{late: map[net.Conn]string{}}
@@ -102,6 +105,8 @@
 // are copied. An attempt may fail; its response is never that to another one.
 func TestResponsesBelongToTheirAttempts(t *testing.T) {
 	server := newCopyServer(t)
+	// attempted counts the attempts of all draws, and unopened those whose connections were not opened in time.
+	attempted, unopened := 0, 0
 	rapid.Check(t, func(check *rapid.T) {
 		const requests = 4
 		pool := New(WithLimit(func(string) int { return rapid.SampledFrom([]int{0, 3}).Draw(check, "limit") }))
@@ -124,11 +129,17 @@
 			status := rapid.SampledFrom([]int{http.StatusOK, http.StatusServiceUnavailable}).Draw(check, "status")
 			copies := rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(check, "copies")
 			response, err := server.attempt(pool, &attempts[index], fmt.Sprint("request-", index), number, status, copies)
-			if err != nil {
-				if !errors.Is(err, ErrBusy) && !errors.Is(err, ErrBroken) {
-					check.Fatal(err)
-				}
+			attempted++
+			var failure net.Error
+			switch {
+			case errors.Is(err, ErrBusy) || errors.Is(err, ErrBroken):
+				continue
+			case errors.Is(err, ErrNotSent) && errors.As(err, &failure) && failure.Timeout():
+				// Thousands of connections to one port use ports again; the packet that opens one may have to be sent again.
+				unopened++
 				continue
+			case err != nil:
+				check.Fatal(err)
 			}
 			open[index] = response
 			if got := response.Header().Get(headerNumber); got != strconv.Itoa(number) || response.Status() != status {
@@ -139,6 +150,9 @@
 			finish(index)
 		}
 	})
+	if unopened > attempted/maxUnopened {
+		t.Fatalf("%d of %d connections were not opened in time", unopened, attempted)
+	}
 }
 
 // A connection that a request cannot use must not keep the request from the server.
