--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -60,8 +60,8 @@
 // A part counts as the cause once it was in flight at CrashesToBlock crashes, and no request with it has survived since the
 // first of them. Servers that fail together count once: a further crash must be crashSpacing later, or a request with the part
 // must have been sent after the one before. If some requests with the part have begun, BegunCrashesToBlock servers must have
-// crashed too, some of them together. Of several such parts the most specific one is blocked, along with the parts that always
-// accompany it, unless these have been seen to be sound.
+// crashed in all; some of them may have failed together. Of several such parts the most specific one is blocked, along with the
+// parts that always accompany it, unless these have been seen to be sound.
 type Analyzer struct {
 	crashes   map[string]*evidence
 	sightings map[Part]Sighting
