--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilproxy"
 	"lentilproxy/core/setup"
 	"lentilproxy/io/coord"
 	"lentilproxy/io/front"
@@ -15,6 +16,7 @@
 	"lentilproxy/platform"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -64,8 +66,11 @@
 		Orders:  platform.NewOrders(coord.NewHTTPClient(dialer.DialContext, 1), coord.NewHTTPClient(hosted.orders.DialContext, 0), scope),
 	}, opened.open[peersListenerIndex], coord.WithLog(log), coord.WithMetrics(scope))
 	connections := scope.Counter("server_connections")
-	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOnOpen(func() { connections.Inc(1) }))
 	dialect := platform.Dialect{}
+	hosted.links = link.New(link.WithLimit(hosted.coordinator.ConnectionLimit), link.WithOnOpen(func() { connections.Inc(1) }),
+		link.WithOnSurplus(func(server string, surplus link.Surplus, response *http.Response) {
+			recordSurplus(log, scope, dialect, server, surplus, response)
+		}))
 	service := serve.New(hosted.coordinator, dialect, hosted.links, serve.WithLog(log), serve.WithMetrics(scope))
 	hosted.front = front.New(opened.open[0], service.Limits, service.Handle)
 	readyMux := http.NewServeMux()
@@ -79,6 +84,16 @@
 	return hosted, nil
 }
 
+// recordSurplus records that a backend server has sent bytes that belong to no request.
+func recordSurplus(log logr.Logger, scope tally.Scope, dialect lentilproxy.Dialect, server string, surplus link.Surplus, response *http.Response) {
+	scope.Tagged(map[string]string{"kind": string(surplus)}).Counter("surplus_from_servers").Inc(1)
+	fields := []any{"server", server, "kind", surplus}
+	if response != nil {
+		fields = append(fields, "status", response.StatusCode, "other_request", dialect.DecodeResponse(response.StatusCode, response.Header).ID)
+	}
+	log.Info("backend server sent bytes that belong to no request", fields...)
+}
+
 func (hosted *Hosted) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
 	if hosted.stopping.Load() || !hosted.coordinator.Ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -55,29 +55,47 @@
 	source      *limitedReader
 	reader      *bufio.Reader
 	idleTimeout time.Duration
+	// surplus is set once bytes that belong to no request have been found on the connection.
+	surplus bool
 }
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
-func (conn *conn) usable() bool { return conn.reader.Buffered() == 0 && silent(conn.raw) }
+func (conn *conn) usable() bool {
+	open, unread := conn.reader.Buffered() == 0, conn.reader.Buffered() > 0
+	if !unread {
+		open, unread = peek(conn.raw)
+	}
+	if unread && !conn.surplus {
+		conn.surplus = true
+		conn.pool.onSurplus(conn.key.incarnation.ID, SurplusAfterResponse, nil)
+	}
+	return open && !unread
+}
 
-// silent reports whether a connection is open and nothing has arrived on it that has not been read.
-func silent(conn net.Conn) bool {
+// peek reports whether a connection is open, and whether bytes have arrived on it that have not been read.
+func peek(conn net.Conn) (open, unread bool) {
 	socket, isSocket := conn.(syscall.Conn)
 	if !isSocket {
-		return true
+		return true, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Read(func(descriptor uintptr) bool {
 		var buffer [1]byte
-		_, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(peekErr, unix.EAGAIN)
+		count, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = peekErr == nil && count > 0
+		open = unread || errors.Is(peekErr, unix.EAGAIN)
 		return true
 	})
-	return err == nil && open
+	return err == nil && open, err == nil && unread
+}
+
+// silent reports whether a connection is open and nothing has arrived on it that has not been read.
+func silent(conn net.Conn) bool {
+	open, unread := peek(conn)
+	return open && !unread
 }
 
 // Response is the response of a backend server. The caller must close it.
@@ -117,6 +135,7 @@
 			return response.check()
 		}
 		// The late response to an earlier request may precede the expected one.
+		response.conn.pool.onSurplus(response.conn.key.incarnation.ID, SurplusResponse, response.response)
 		if err := response.skip(); err != nil {
 			return err
 		}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -115,9 +115,11 @@
 	// limit returns the maximum number of connections to one server of a service; 0 means no limit.
 	limit  func(service string) int
 	onOpen func()
-	dialer *net.Dialer
-	stop   chan struct{}
-	done   chan struct{}
+	// onSurplus is called for bytes that belong to no request.
+	onSurplus func(server string, surplus Surplus, response *http.Response)
+	dialer    *net.Dialer
+	stop      chan struct{}
+	done      chan struct{}
 }
 
 // Option configures a pool.
@@ -136,7 +138,7 @@
 func New(options ...Option) *Pool {
 	pool := &Pool{
 		idle: map[serverKey][]idleConn{}, open: map[serverKey]int{}, limit: func(string) int { return 0 }, onOpen: func() {},
-		dialer: Dialer(), stop: make(chan struct{}), done: make(chan struct{}),
+		onSurplus: func(string, Surplus, *http.Response) {}, dialer: Dialer(), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(pool)
