--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -398,7 +398,7 @@
 			_ = far.Close()
 		}()
 		source := &limitedReader{reader: near, left: unlimited}
-		pool := &Pool{idle: map[serverKey][]idleConn{}, open: map[serverKey]int{}}
+		pool := &Pool{idle: map[serverKey][]idleConn{}, open: map[serverKey]int{}, onSurplus: func(string, Surplus, *http.Response) {}}
 		conn := &conn{pool: pool, raw: near, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout}
 		response := &Response{conn: conn, detach: func() bool { return true }}
 		err := response.exchange(&Request{
