A second response is no part of a body without length or chunks

A server that responds twice, the first time with neither a length nor chunks, ends the connection after the second response, and everything up to the end counted as the first body.

Such bodies now end with an error at the beginning of a response that names a request, whole, split or cut off in its headers.

--- a/io/link/attempts_test.go
+++ b/io/link/attempts_test.go
@@ -61,7 +61,7 @@
 		Header: http.Header{
 			"X-Id": {id}, headerNumber: {strconv.Itoa(number)}, headerStatus: {strconv.Itoa(status)}, headerCopies: {strconv.Itoa(copies)},
 		},
-		Matches: func(_ int, header http.Header) bool { return header.Get("X-Id") == id },
+		ID: id, ResponseID: func(_ int, header http.Header) string { return header.Get("X-Id") },
 	})
 }
 
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -131,7 +131,8 @@
 		if err := response.readHead(request); err != nil {
 			return err
 		}
-		if request.Matches(response.response.StatusCode, response.response.Header) {
+		if request.ResponseID(response.response.StatusCode, response.response.Header) == request.ID {
+			response.watchBody(request)
 			return response.check()
 		}
 		// The late response to an earlier request may precede the expected one.
@@ -173,6 +174,21 @@
 	return err
 }
 
+// watchBody makes the reading of a body that ends with its connection fail at the beginning of another response.
+func (response *Response) watchBody(request *Request) {
+	if !response.EndsWithConnection() {
+		return
+	}
+	source, conn := response.response.Body, response.conn
+	response.response.Body = io.NopCloser(NewUnframedBody(source, func(second *http.Response) bool {
+		if request.ResponseID(second.StatusCode, second.Header) == "" {
+			return false
+		}
+		conn.pool.onSurplus(conn.key.incarnation.ID, SurplusInBody, second)
+		return true
+	}))
+}
+
 // check checks the headers and records whether, and for how long, the connection may be kept.
 func (response *Response) check() error {
 	header := response.response.Header
--- a/io/link/harness_test.go
+++ b/io/link/harness_test.go
@@ -84,7 +84,7 @@
 	defer cancel()
 	response, err := pool.Do(ctx, spec.Server{ID: "s", Address: fakeServer.address}, &Request{
 		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, header http.Header) bool { return header.Get("X-Id") == id },
+		ID: id, ResponseID: func(_ int, header http.Header) string { return header.Get("X-Id") },
 	})
 	if err != nil {
 		return "", 0, err
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -72,8 +72,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request.
-	Matches func(status int, header http.Header) bool
+	// ID identifies the request, and ResponseID returns the ID of the request to which a response belongs; "" if it names none.
+	ID         string
+	ResponseID func(status int, header http.Header) string
 	// Attempts holds the connections of earlier attempts to send this request, on which it is not sent again; nil for none.
 	Attempts *Attempts
 }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -223,7 +223,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		response, err := pool.Do(ctx, spec.Server{ID: "s", Address: listener.Addr().String()}, &Request{
 			Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20),
-			Matches: func(int, http.Header) bool { return true },
+			ResponseID: func(int, http.Header) string { return "" },
 		})
 		is.NoErr(err)
 		_, err = io.ReadAll(response)
@@ -269,7 +269,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
 	_, err := pool.Do(ctx, spec.Server{ID: "s", Address: fakeServer.address}, &Request{
-		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}, ResponseID: func(int, http.Header) string { return "" },
 	})
 	is.True(errors.Is(err, ErrBroken))
 	select {
@@ -366,7 +366,7 @@
 			pool := newPool(t)
 			for range 2 {
 				response, err := pool.Do(t.Context(), spec.Server{ID: "s", Address: fakeServer.address}, &Request{
-					Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+					Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, ResponseID: func(int, http.Header) string { return "" },
 				})
 				is.NoErr(err)
 				startedAt := time.Now()
@@ -403,7 +403,7 @@
 		response := &Response{conn: conn, detach: func() bool { return true }}
 		err := response.exchange(&Request{
 			Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
-			Matches: func(_ int, header http.Header) bool { return header.Get("X-Id") == "mine" },
+			ID: "mine", ResponseID: func(_ int, header http.Header) string { return header.Get("X-Id") },
 		})
 		if err != nil {
 			return
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -301,8 +301,9 @@
 	return &link.Request{
 		Method: call.exchange.Method(), Target: call.exchange.Target(), Host: call.exchange.Host(),
 		Header: call.service.dialect.RequestHeader(call.exchange.Header(), forward), Body: call.exchange.Body(),
-		Matches: func(status int, header http.Header) bool {
-			return call.service.dialect.DecodeResponse(status, header).ID == call.info.ID
+		ID: call.info.ID,
+		ResponseID: func(status int, header http.Header) string {
+			return call.service.dialect.DecodeResponse(status, header).ID
 		},
 		Attempts: &call.attempts,
 	}
