A body that was broken off is not filled up by a second response

The reader of bodies looks for a response in all of them.

Evidence: TestSecondResponseIsNoPartOfABody failed before in ten forms with a length and in nine with chunks. TestRequestIsTriedAgainAfterASecondResponse: calls and resumable streams are served by another server.

--- /dev/null
+++ b/io/link/body.go
@@ -0,0 +1,165 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrSecondResponse means that another response began within a body. What came before it may be whole or not.
+var ErrSecondResponse = errors.New("another response begins within the body")
+
+const (
+	// maxSecondHeadBytes bounds the head of a response that is looked for within a body, and maxStatusLineBytes its first line.
+	maxSecondHeadBytes = 8 << 10
+	maxStatusLineBytes = 256
+)
+
+// statusLineForm is the form of the beginning of a status line, with 0 in the place of any digit.
+var statusLineForm = []byte("HTTP/0.0 000")
+
+// body reads the body of a response. It holds back bytes that may be the head of another response, and fails if they are one: a body
+// without a length or chunks ends with its connection, and one that was broken off may be filled up by what follows it.
+type body struct {
+	source io.Reader
+	buffer []byte
+	// pending holds what has been read and not been returned. The first safe bytes of it are no part of another response.
+	pending []byte
+	safe    int
+	// err is the error that ended the source, or nil. found is set once another response has begun.
+	err   error
+	found bool
+	// isResponse reports whether a head is that of a response, and not a part of a body.
+	isResponse func(response *http.Response) bool
+}
+
+// NewBody returns a reader of the body of one response. It fails with ErrSecondResponse at the beginning of another one for which
+// isResponse returns true, or that is cut off in its headers.
+func NewBody(source io.Reader, isResponse func(response *http.Response) bool) io.Reader {
+	return &body{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse}
+}
+
+// Read implements io.Reader.
+func (body *body) Read(buffer []byte) (int, error) {
+	for {
+		if body.safe > 0 {
+			count := copy(buffer, body.pending[:body.safe])
+			body.pending, body.safe = body.pending[count:], body.safe-count
+			return count, nil
+		}
+		body.scan()
+		switch {
+		case body.found && body.err != nil && !errors.Is(body.err, io.EOF):
+			return 0, errors.Join(ErrSecondResponse, body.err)
+		case body.found:
+			return 0, ErrSecondResponse
+		case body.safe > 0:
+			continue
+		case body.err != nil:
+			return 0, body.err
+		}
+		count, err := body.source.Read(body.buffer)
+		body.pending = append(body.pending, body.buffer[:count]...)
+		body.err = err
+	}
+}
+
+// scan finds out how many of the pending bytes are safe: all up to the first that may begin a status line.
+func (body *body) scan() {
+	if body.found {
+		return
+	}
+	switch start := indexStatusLine(body.pending); {
+	case start > 0:
+		body.safe = start
+	case start < 0:
+		body.safe = len(body.pending)
+	case len(body.pending) >= len(statusLineForm):
+		body.scanHead()
+	case body.err != nil:
+		body.safe = len(body.pending)
+	}
+}
+
+// scanHead decides whether the pending bytes, which begin with a status line, are a response.
+func (body *body) scanHead() {
+	end, possible := headLength(body.pending)
+	switch {
+	case !possible:
+		body.safe = len(statusLineForm)
+	case end > 0:
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body.pending[:end])), nil)
+		if err == nil {
+			_ = response.Body.Close()
+			body.found = body.isResponse(response)
+		}
+		body.safe = end
+	case body.err != nil:
+		// A second response that was cut off in its headers. A status line alone may as well end a body.
+		_, headers, _ := bytes.Cut(body.pending, lineEnd)
+		body.found = len(headers) > 0
+		body.safe = len(body.pending)
+	}
+	if body.found {
+		body.safe = 0
+	}
+}
+
+// lineEnd ends a line of a head. Like the parser, it does not require a carriage return before it.
+var lineEnd = []byte("\n")
+
+// headLength returns the length of the head at the beginning of content, or 0 if its end has not arrived. possible is false if the
+// lines cannot be those of a head.
+func headLength(content []byte) (length int, possible bool) {
+	for rest := content; ; {
+		line, next, found := bytes.Cut(rest, lineEnd)
+		isFirst := len(rest) == len(content)
+		switch {
+		case isFirst && len(line) > maxStatusLineBytes, len(content)-len(rest) > maxSecondHeadBytes:
+			return 0, false
+		case !found:
+			return 0, len(content) <= maxSecondHeadBytes
+		case !isFirst && len(bytes.TrimRight(line, "\r")) == 0:
+			return len(content) - len(next), true
+		case !isFirst && !isHeaderLine(line):
+			return 0, false
+		}
+		rest = next
+	}
+}
+
+// isHeaderLine reports whether a line of a head is a header, or continues one.
+func isHeaderLine(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	return line[0] == ' ' || line[0] == '\t' || found && httpguts.ValidHeaderFieldName(string(name))
+}
+
+// indexStatusLine returns the index at which a status line begins, or may begin if more bytes follow; -1 if there is none.
+func indexStatusLine(content []byte) int {
+	for start := 0; start < len(content); start++ {
+		next := bytes.IndexByte(content[start:], statusLineForm[0])
+		if next < 0 {
+			return -1
+		}
+		start += next
+		if isStatusLine(content[start:]) {
+			return start
+		}
+	}
+	return -1
+}
+
+// isStatusLine reports whether content begins with a status line, or is the beginning of one.
+func isStatusLine(content []byte) bool {
+	for index, expected := range statusLineForm[:min(len(statusLineForm), len(content))] {
+		isDigit := '0' <= content[index] && content[index] <= '9'
+		if expected == '0' && !isDigit || expected != '0' && content[index] != expected {
+			return false
+		}
+	}
+	return true
+}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -110,6 +110,8 @@
 	unsent atomic.Bool
 	// complete is set once the body has been read to its end.
 	complete bool
+	// second is the response that was found within the body, or nil.
+	second *http.Response
 }
 
 // exchange writes the request and reads the status line and headers of its response.
@@ -174,17 +176,13 @@
 	return err
 }
 
-// watchBody makes the reading of a body that ends with its connection fail at the beginning of another response.
+// watchBody makes the reading of the body fail at the beginning of another response.
 func (response *Response) watchBody(request *Request) {
-	if !response.EndsWithConnection() {
-		return
-	}
-	source, conn := response.response.Body, response.conn
-	response.response.Body = io.NopCloser(NewUnframedBody(source, func(second *http.Response) bool {
+	response.response.Body = io.NopCloser(NewBody(response.response.Body, func(second *http.Response) bool {
 		if request.ResponseID(second.StatusCode, second.Header) == "" {
 			return false
 		}
-		conn.pool.onSurplus(conn.key.incarnation.ID, SurplusInBody, second)
+		response.second = second
 		return true
 	}))
 }
@@ -228,6 +226,10 @@
 	if errors.Is(err, io.EOF) {
 		response.complete = true
 	}
+	if errors.Is(err, ErrSecondResponse) && !response.conn.surplus {
+		response.conn.surplus = true
+		response.conn.pool.onSurplus(response.conn.key.incarnation.ID, SurplusInBody, response.second)
+	}
 	return count, err
 }
 
