100 Continue: nothing follows a part of the line, and it has its own deadline

What callers saw: a request with Expect: 100-continue on a kept connection. If the line could be sent only in part, the response followed it ("HTTP/1.1 100HTTP/1.1 200 OK"): bytes that are no response. More than writeTimeout after the response before, the line was never sent, and a caller that waits for it waited in vain.

Cause: the line was written without a look at the error, and with the write deadline of the response before.

Evidence: TestNothingFollowsAPartOfTheContinueLine and TestContinueLineIsSentLongAfterAResponse failed before, with the bytes above and with a timeout. A connection on which the line failed ends now, and each line has a deadline of its own.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -149,7 +149,11 @@
 		return nil, http.StatusBadRequest
 	}
 	if strings.EqualFold(exchange.header.Get("Expect"), "100-continue") {
-		_, _ = conn.raw.Write(continueLine)
+		// The deadline of the response before this request may be over. After a part of the line nothing else may follow.
+		_ = conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := conn.raw.Write(continueLine); err != nil {
+			return nil, 0
+		}
 	}
 	_ = conn.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, status := conn.readBody(exchange.header, limits.BodyBytes)
