Rejections of unreadable requests have no body

What callers saw: after the head of the 4xx response to a HEAD request that is malformed or too large, the bytes "Bad Request" and the like, which belong to no response.

Cause: reject responds without knowing the method.

Evidence: the rejected requests of TestBytesAfterAHeadAreThoseOfItsBody failed before. A response without a body is right for every method; the status line tells the reason.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -296,10 +296,11 @@
 	conn.served = true
 }
 
-// reject responds to a request that could not be read. The connection must not be used afterwards.
+// reject responds to a request that could not be read. The connection must not be used afterwards. The response has no body, since
+// the method may be HEAD.
 func (conn *conn) reject(status int) {
 	exchange := &Exchange{conn: conn, close: true}
-	exchange.Respond(status, http.Header{"Content-Type": {"text/plain"}}, []byte(http.StatusText(status)+"\n"))
+	exchange.Respond(status, http.Header{}, nil)
 	// Closing a connection with unread bytes resets it, and the caller might lose the response.
 	if tcp, isTCP := conn.raw.(*net.TCPConn); isTCP {
 		_ = tcp.CloseWrite()
--- a/io/front/framing_test.go
+++ b/io/front/framing_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,3 +57,39 @@
 	_ = response.Body.Close()
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// Guards against bytes that callers take for the beginning of another response, or for a part of one: what follows a head must be
+// what the method and the status announce.
+func TestBytesAfterAHeadAreThoseOfItsBody(t *testing.T) {
+	whole := func(status int) func(exchange *Exchange) {
+		return func(exchange *Exchange) { exchange.Respond(status, http.Header{}, []byte("content")) }
+	}
+	for name, test := range map[string]struct {
+		method  string
+		headers string
+		handle  func(exchange *Exchange)
+		// body is what must follow the head.
+		body string
+	}{
+		"whole":                          {http.MethodGet, "", whole(http.StatusOK), "content"},
+		"whole, HEAD":                    {http.MethodHead, "", whole(http.StatusOK), ""},
+		"rejected, HEAD":                 {http.MethodHead, "Host: b\r\n", whole(http.StatusOK), ""},
+		"rejected with its length, HEAD": {http.MethodHead, "Content-Length: 99999999\r\n", whole(http.StatusOK), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := &recorder{serve: func(_ context.Context, exchange *Exchange) { test.handle(exchange) }}
+			_, address := newServer(t, recorder)
+			caller, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = caller.Close() }()
+			_ = caller.SetReadDeadline(time.Now().Add(time.Second))
+			_, _ = io.WriteString(caller, test.method+" /a/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"+test.headers+"\r\n")
+			content, err := io.ReadAll(caller)
+			is.NoErr(err)
+			_, body, found := strings.Cut(string(content), "\r\n\r\n")
+			is.True(found)
+			is.Equal(body, test.body)
+		})
+	}
+}
