Responses to HEAD, and with status 204 or 304, have no body, however they are sent

What callers could get: the chunks of a response after a head after which no body is due, and the content of a 204 or 304: bytes that are no response.

Cause: Begin, Write and End did not look at method and status, and Respond looked at the status only for the length.

Evidence: five cases of TestBytesAfterAHeadAreThoseOfItsBody failed before (whole and in parts, HEAD, 204, 304).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -28,7 +28,8 @@
 	failed bool
 	// lastResponse is set if the response has a Connection: close header.
 	lastResponse bool
-	chunked      bool
+	// bodiless is set if the response has no body, whatever its headers say.
+	bodiless bool
 }
 
 // Method returns the method of the request.
@@ -58,11 +59,11 @@
 		return
 	}
 	out := exchange.newHead(status, header)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	if statusHasBody(status) {
 		fmt.Fprintf(out, "Content-Length: %d\r\n", len(body))
 	}
 	out.WriteString("\r\n")
-	if exchange.method != http.MethodHead {
+	if !exchange.bodiless {
 		out.Write(body)
 	}
 	exchange.complete = exchange.write(out.Bytes())
@@ -75,14 +76,21 @@
 		return false
 	}
 	out := exchange.newHead(status, header)
-	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	exchange.chunked = true
-	appendChunk(out, first)
+	if statusHasBody(status) {
+		out.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	out.WriteString("\r\n")
+	if !exchange.bodiless {
+		appendChunk(out, first)
+	}
 	return exchange.write(out.Bytes())
 }
 
 // Write sends a part of a response that has begun. It reports whether this part and all before it could be sent.
 func (exchange *Exchange) Write(part []byte) bool {
+	if exchange.bodiless {
+		return !exchange.failed
+	}
 	var out bytes.Buffer
 	appendChunk(&out, part)
 	return exchange.write(out.Bytes())
@@ -99,14 +107,24 @@
 // End marks a response that has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
 // truncated response.
 func (exchange *Exchange) End() {
+	if exchange.bodiless {
+		exchange.complete = !exchange.failed
+		return
+	}
 	exchange.complete = exchange.write([]byte("0\r\n\r\n"))
 }
 
+// statusHasBody reports whether responses with a status have a body, which may be empty.
+func statusHasBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // newHead returns the status line and headers of a response, without the headers that determine its length.
 func (exchange *Exchange) newHead(status int, header http.Header) *bytes.Buffer {
 	out := &bytes.Buffer{}
 	fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	_ = header.Write(out)
+	exchange.bodiless = exchange.method == http.MethodHead || !statusHasBody(status)
 	exchange.lastResponse = exchange.close || exchange.conn.server.draining.Load()
 	if exchange.lastResponse {
 		out.WriteString("Connection: close\r\n")
--- a/io/front/framing_test.go
+++ b/io/front/framing_test.go
@@ -64,6 +64,13 @@
 	whole := func(status int) func(exchange *Exchange) {
 		return func(exchange *Exchange) { exchange.Respond(status, http.Header{}, []byte("content")) }
 	}
+	inParts := func(status int) func(exchange *Exchange) {
+		return func(exchange *Exchange) {
+			exchange.Begin(status, http.Header{}, []byte("first"))
+			exchange.Write([]byte("second"))
+			exchange.End()
+		}
+	}
 	for name, test := range map[string]struct {
 		method  string
 		headers string
@@ -75,6 +82,13 @@
 		"whole, HEAD":                    {http.MethodHead, "", whole(http.StatusOK), ""},
 		"rejected, HEAD":                 {http.MethodHead, "Host: b\r\n", whole(http.StatusOK), ""},
 		"rejected with its length, HEAD": {http.MethodHead, "Content-Length: 99999999\r\n", whole(http.StatusOK), ""},
+		"whole, 204":                     {http.MethodGet, "", whole(http.StatusNoContent), ""},
+		"whole, 304":                     {http.MethodGet, "", whole(http.StatusNotModified), ""},
+		"whole, 205":                     {http.MethodGet, "", whole(http.StatusResetContent), "content"},
+		"in parts":                       {http.MethodGet, "", inParts(http.StatusOK), "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"},
+		"in parts, HEAD":                 {http.MethodHead, "", inParts(http.StatusOK), ""},
+		"in parts, 204":                  {http.MethodGet, "", inParts(http.StatusNoContent), ""},
+		"in parts, 304":                  {http.MethodGet, "", inParts(http.StatusNotModified), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
