Parts and ends are sent only within a response that has begun and not ended

What callers could get: chunks, or the last chunk, before the head of a response, or after a whole one on a connection that is kept. Package serve sends none at present.

Cause: Write and End did not look at whether a response is open.

Evidence: six cases of TestBytesAfterAHeadAreThoseOfItsBody failed before (end and part without a beginning, after a whole response, after an end).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -28,6 +28,8 @@
 	failed bool
 	// lastResponse is set if the response has a Connection: close header.
 	lastResponse bool
+	// open is set from the beginning of a response of unknown length to its end.
+	open bool
 	// bodiless is set if the response has no body, whatever its headers say.
 	bodiless bool
 }
@@ -83,11 +85,15 @@
 	if !exchange.bodiless {
 		appendChunk(out, first)
 	}
+	exchange.open = true
 	return exchange.write(out.Bytes())
 }
 
-// Write sends a part of a response that has begun. It reports whether this part and all before it could be sent.
+// Write sends a part of a response that Begin has begun. It reports whether this part and all before it could be sent.
 func (exchange *Exchange) Write(part []byte) bool {
+	if !exchange.open {
+		return false
+	}
 	if exchange.bodiless {
 		return !exchange.failed
 	}
@@ -104,9 +110,13 @@
 	_, _ = writer.Write(part)
 }
 
-// End marks a response that has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
+// End marks a response that Begin has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
 // truncated response.
 func (exchange *Exchange) End() {
+	if !exchange.open {
+		return
+	}
+	exchange.open = false
 	if exchange.bodiless {
 		exchange.complete = !exchange.failed
 		return
--- a/io/front/framing_test.go
+++ b/io/front/framing_test.go
@@ -89,6 +89,24 @@
 		"in parts, HEAD":                 {http.MethodHead, "", inParts(http.StatusOK), ""},
 		"in parts, 204":                  {http.MethodGet, "", inParts(http.StatusNoContent), ""},
 		"in parts, 304":                  {http.MethodGet, "", inParts(http.StatusNotModified), ""},
+		"end without beginning":          {http.MethodGet, "Expect: 100-continue\r\n", func(exchange *Exchange) { exchange.End() }, ""},
+		"part without beginning":         {http.MethodGet, "Expect: 100-continue\r\n", func(exchange *Exchange) { exchange.Write([]byte("part")) }, ""},
+		"end after whole": {http.MethodGet, "", func(exchange *Exchange) {
+			whole(http.StatusOK)(exchange)
+			exchange.End()
+		}, "content"},
+		"part after whole": {http.MethodGet, "", func(exchange *Exchange) {
+			whole(http.StatusOK)(exchange)
+			exchange.Write([]byte("part"))
+		}, "content"},
+		"two ends": {http.MethodGet, "", func(exchange *Exchange) {
+			inParts(http.StatusOK)(exchange)
+			exchange.End()
+		}, "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"},
+		"part after end": {http.MethodGet, "", func(exchange *Exchange) {
+			inParts(http.StatusOK)(exchange)
+			exchange.Write([]byte("part"))
+		}, "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
