A response in whose middle another one was suppressed stays truncated

What callers could get: the beginning of a response, and an end that belongs to a second one whose beginning was suppressed: a cut that looks whole. The comment of Respond promised a truncated response.

Evidence: the last two cases of TestBytesAfterAHeadAreThoseOfItsBody failed before.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -58,6 +58,7 @@
 // Respond sends a complete response. If another one has begun, it sends nothing, and the caller receives a truncated response.
 func (exchange *Exchange) Respond(status int, header http.Header, body []byte) {
 	if exchange.begun {
+		exchange.suppress()
 		return
 	}
 	out := exchange.newHead(status, header)
@@ -71,10 +72,17 @@
 	exchange.complete = exchange.write(out.Bytes())
 }
 
+// suppress records that a second response is not sent. One that has begun and not ended stays truncated, even if End follows: what
+// the handler wanted to be its end belongs to the second one.
+func (exchange *Exchange) suppress() {
+	exchange.open = false
+}
+
 // Begin sends the status line, the headers and the first part of a response of unknown length. Like Respond, it sends nothing
 // if another one has begun. It reports whether the part could be sent.
 func (exchange *Exchange) Begin(status int, header http.Header, first []byte) bool {
 	if exchange.begun {
+		exchange.suppress()
 		return false
 	}
 	out := exchange.newHead(status, header)
--- a/io/front/framing_test.go
+++ b/io/front/framing_test.go
@@ -107,6 +107,15 @@
 			inParts(http.StatusOK)(exchange)
 			exchange.Write([]byte("part"))
 		}, "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"},
+		"whole after a beginning, and an end": {http.MethodGet, "", func(exchange *Exchange) {
+			exchange.Begin(http.StatusOK, http.Header{}, []byte("first"))
+			whole(http.StatusBadGateway)(exchange)
+			exchange.End()
+		}, "5\r\nfirst\r\n"},
+		"two beginnings, and an end": {http.MethodGet, "", func(exchange *Exchange) {
+			exchange.Begin(http.StatusOK, http.Header{}, []byte("first"))
+			inParts(http.StatusOK)(exchange)
+		}, "5\r\nfirst\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
