Suppressed responses and ones that could not be sent show in the log and the metrics

What was seen: a response that could not be sent was logged and counted as answered (or refused), and a second response that was suppressed showed nowhere.

Now the outcome is that of the bytes: "caller gone" if a part could not be sent, "cut" if the response has no end. Suppressed responses are logged and counted (suppressed_responses).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -28,6 +28,8 @@
 	failed bool
 	// lastResponse is set if the response has a Connection: close header.
 	lastResponse bool
+	// suppressed is set once a response has not been sent because another one had begun.
+	suppressed bool
 	// open is set from the beginning of a response of unknown length to its end.
 	open bool
 	// bodiless is set if the response has no body, whatever its headers say.
@@ -55,6 +57,15 @@
 // Begun reports whether a part of the response may have reached the caller.
 func (exchange *Exchange) Begun() bool { return exchange.begun }
 
+// Complete reports whether a whole response has been passed to the caller's connection.
+func (exchange *Exchange) Complete() bool { return exchange.complete }
+
+// Failed reports whether a part of the response could not be sent.
+func (exchange *Exchange) Failed() bool { return exchange.failed }
+
+// Suppressed reports whether a response has not been sent because another one had begun.
+func (exchange *Exchange) Suppressed() bool { return exchange.suppressed }
+
 // Respond sends a complete response. If another one has begun, it sends nothing, and the caller receives a truncated response.
 func (exchange *Exchange) Respond(status int, header http.Header, body []byte) {
 	if exchange.begun {
@@ -75,6 +86,7 @@
 // suppress records that a second response is not sent. One that has begun and not ended stays truncated, even if End follows: what
 // the handler wanted to be its end belongs to the second one.
 func (exchange *Exchange) suppress() {
+	exchange.suppressed = true
 	exchange.open = false
 }
 
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -13,6 +13,14 @@
 // logged.
 const successLogInterval = 50
 
+// The outcomes of requests, in the log and the metrics.
+const (
+	outcomeAnswered   = "answered"
+	outcomeRefused    = "refused"
+	outcomeCut        = "cut"
+	outcomeCallerGone = "caller gone"
+)
+
 // maxLoggedParts bounds the parts of a prompt in one log line.
 const maxLoggedParts = 16
 
@@ -23,15 +31,16 @@
 	switch {
 	case refusal == nil:
 	case call.exchange.Disconnected():
-		call.outcome = "caller gone"
+		call.outcome = outcomeCallerGone
 	case call.exchange.Begun():
 		// The connection is closed without the end of the response, so that the caller detects that it is incomplete.
-		call.outcome = "cut"
+		call.outcome = outcomeCut
 	case call.fallback != nil:
 		call.respond(call.fallback.status, call.fallback.header, call.fallback.content)
 	default:
 		call.respondRefusal(refusal)
 	}
+	call.checkSent()
 	now := clock.Now()
 	service.latency.RecordDuration(now.Sub(call.receivedAt))
 	if !call.sentAt.IsZero() {
@@ -44,14 +53,30 @@
 	call.logEnd(refusal)
 }
 
+// checkSent corrects the outcome of a request whose response could not be sent to its end, and records a response that was not sent
+// because another one had begun.
+func (call *call) checkSent() {
+	if call.exchange.Suppressed() {
+		call.service.metrics.Counter("suppressed_responses").Inc(1)
+		call.service.log.Info("response suppressed, since another one had begun", "request", call.info.ID, "status", call.status)
+	}
+	switch {
+	case call.exchange.Complete() || call.outcome != outcomeAnswered && call.outcome != outcomeRefused:
+	case call.exchange.Failed():
+		call.outcome = outcomeCallerGone
+	default:
+		call.outcome = outcomeCut
+	}
+}
+
 // uneventful reports whether the request succeeded on the first server and within its objective.
 func (call *call) uneventful() bool {
-	return call.outcome == "answered" && call.status < http.StatusBadRequest && len(call.servers) == 1 &&
+	return call.outcome == outcomeAnswered && call.status < http.StatusBadRequest && len(call.servers) == 1 &&
 		call.firstEventAt.Sub(call.receivedAt) <= call.route.Objective
 }
 
 func (call *call) respondRefusal(refusal *refuse.Refusal) {
-	call.outcome, call.status = "refused", refusal.Status()
+	call.outcome, call.status = outcomeRefused, refusal.Status()
 	header := http.Header{"Content-Type": {"application/json"}}
 	if wait := refusal.RetryAfterSeconds(); wait != "" {
 		header.Set("Retry-After", wait)
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -158,7 +158,7 @@
 		if err != nil {
 			call.reportBroken(server, err)
 			call.logAttempt(server, "answer broke off", err.Error())
-			call.outcome = "cut"
+			call.outcome = outcomeCut
 			return finished, nil
 		}
 	}
@@ -166,18 +166,18 @@
 
 // begin sends the beginning of a response. It reports whether the caller could receive it.
 func (call *call) begin(status int, header http.Header, first []byte) bool {
-	call.firstEventAt, call.status, call.outcome = clock.Now(), status, "answered"
+	call.firstEventAt, call.status, call.outcome = clock.Now(), status, outcomeAnswered
 	return call.exchange.Begin(status, header, first) && !call.exchange.Disconnected()
 }
 
 func (call *call) respond(status int, header http.Header, content []byte) {
-	call.firstEventAt, call.status, call.outcome = clock.Now(), status, "answered"
+	call.firstEventAt, call.status, call.outcome = clock.Now(), status, outcomeAnswered
 	call.exchange.Respond(status, header, content)
 }
 
 // handleCallerGone handles a caller that closed the connection during the response.
 func (call *call) handleCallerGone(server spec.Server) (attemptResult, *refuse.Refusal) {
 	call.watch(server, false)
-	call.outcome = "caller gone"
+	call.outcome = outcomeCallerGone
 	return finished, nil
 }
