The last response of a connection arrives although the caller has sent more

What callers saw: a response cut by a reset, if it was the last one of its connection (the host stops, or the caller asked for it) and more than the read buffer of pipelined requests had arrived. The host had answered in full.

Cause: closing a connection with unread bytes resets it, and what had not been delivered is lost. After a rejection this was taken care of, after other last responses not.

If something has arrived, the host ends its side first and discards it, for up to lingerTime.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -55,7 +55,13 @@
 			conn.reject(status)
 			return
 		}
-		if request == nil || !conn.handle(request) {
+		if request == nil {
+			return
+		}
+		if !conn.handle(request) {
+			if request.complete {
+				conn.discardUnread()
+			}
 			return
 		}
 	}
@@ -281,13 +287,30 @@
 	}()
 	conn.server.handler(ctx, exchange)
 	conn.setServed()
-	if !exchange.complete || exchange.lastResponse || conn.server.draining.Load() {
-		// A response that began before the drain has no Connection: close header, so the drain is checked again here.
+	if !exchange.complete {
 		return false
 	}
 	_ = conn.raw.SetReadDeadline(pastDeadline)
 	<-watchDone
-	return !exchange.disconnected.Load()
+	// A response that began before the drain has no Connection: close header, so the drain is checked again here.
+	return !exchange.lastResponse && !conn.server.draining.Load() && !exchange.disconnected.Load()
+}
+
+// discardUnread discards what the caller has sent after its last request, if anything.
+func (conn *conn) discardUnread() {
+	if conn.reader.Buffered() > 0 || conn.hasUnread() {
+		conn.linger()
+	}
+}
+
+// linger ends the responses and discards what the caller sends, for a short time. Closing a connection with unread bytes resets
+// it, and the caller might lose the end of the last response.
+func (conn *conn) linger() {
+	if tcp, isTCP := conn.raw.(*net.TCPConn); isTCP {
+		_ = tcp.CloseWrite()
+		_ = conn.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn.raw, maxLingerBytes))
+	}
 }
 
 func (conn *conn) setServed() {
@@ -301,16 +324,11 @@
 func (conn *conn) reject(status int) {
 	exchange := &Exchange{conn: conn, close: true}
 	exchange.Respond(status, http.Header{}, nil)
-	// Closing a connection with unread bytes resets it, and the caller might lose the response.
-	if tcp, isTCP := conn.raw.(*net.TCPConn); isTCP {
-		_ = tcp.CloseWrite()
-		_ = conn.raw.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, io.LimitReader(conn.raw, maxLingerBytes))
-	}
+	conn.linger()
 }
 
 const (
-	// lingerTime and maxLingerBytes bound what is read from a caller after its request has been rejected.
+	// lingerTime and maxLingerBytes bound what is read from a caller after its last response.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 1 << 20
 )
