--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -55,7 +55,13 @@
 			conn.reject(status)
 			return
 		}
-		if request == nil || !conn.handle(request) {
+		if request == nil {
+			return
+		}
+		if !conn.handle(request) {
+			if request.complete {
+				conn.discardUnread()
+			}
 			return
 		}
 	}
@@ -149,7 +155,11 @@
 		return nil, http.StatusBadRequest
 	}
 	if strings.EqualFold(exchange.header.Get("Expect"), "100-continue") {
-		_, _ = conn.raw.Write(continueLine)
+		// The deadline of the response before this request may be over. After a part of the line nothing else may follow.
+		_ = conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := conn.raw.Write(continueLine); err != nil {
+			return nil, 0
+		}
 	}
 	_ = conn.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, status := conn.readBody(exchange.header, limits.BodyBytes)
@@ -277,13 +287,30 @@
 	}()
 	conn.server.handler(ctx, exchange)
 	conn.setServed()
-	if !exchange.complete || exchange.lastResponse || conn.server.draining.Load() {
-		// A response that began before the drain has no Connection: close header, so the drain is checked again here.
+	if !exchange.complete {
 		return false
 	}
 	_ = conn.raw.SetReadDeadline(pastDeadline)
 	<-watchDone
-	return !exchange.disconnected.Load()
+	// A response that began before the drain has no Connection: close header, so the drain is checked again here.
+	return !exchange.lastResponse && !conn.server.draining.Load() && !exchange.disconnected.Load()
+}
+
+// discardUnread discards what the caller has sent after its last request, if anything.
+func (conn *conn) discardUnread() {
+	if conn.reader.Buffered() > 0 || conn.hasUnread() {
+		conn.linger()
+	}
+}
+
+// linger ends the responses and discards what the caller sends, for a short time. Closing a connection with unread bytes resets
+// it, and the caller might lose the end of the last response.
+func (conn *conn) linger() {
+	if tcp, isTCP := conn.raw.(*net.TCPConn); isTCP {
+		_ = tcp.CloseWrite()
+		_ = conn.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn.raw, maxLingerBytes))
+	}
 }
 
 func (conn *conn) setServed() {
@@ -292,20 +319,16 @@
 	conn.served = true
 }
 
-// reject responds to a request that could not be read. The connection must not be used afterwards.
+// reject responds to a request that could not be read. The connection must not be used afterwards. The response has no body, since
+// the method may be HEAD.
 func (conn *conn) reject(status int) {
 	exchange := &Exchange{conn: conn, close: true}
-	exchange.Respond(status, http.Header{"Content-Type": {"text/plain"}}, []byte(http.StatusText(status)+"\n"))
-	// Closing a connection with unread bytes resets it, and the caller might lose the response.
-	if tcp, isTCP := conn.raw.(*net.TCPConn); isTCP {
-		_ = tcp.CloseWrite()
-		_ = conn.raw.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, io.LimitReader(conn.raw, maxLingerBytes))
-	}
+	exchange.Respond(status, http.Header{}, nil)
+	conn.linger()
 }
 
 const (
-	// lingerTime and maxLingerBytes bound what is read from a caller after its request has been rejected.
+	// lingerTime and maxLingerBytes bound what is read from a caller after its last response.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 1 << 20
 )
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -28,7 +28,12 @@
 	failed bool
 	// lastResponse is set if the response has a Connection: close header.
 	lastResponse bool
-	chunked      bool
+	// suppressed is set once a response has not been sent because another one had begun.
+	suppressed bool
+	// open is set from the beginning of a response of unknown length to its end.
+	open bool
+	// bodiless is set if the response has no body, whatever its headers say.
+	bodiless bool
 }
 
 // Method returns the method of the request.
@@ -52,37 +57,66 @@
 // Begun reports whether a part of the response may have reached the caller.
 func (exchange *Exchange) Begun() bool { return exchange.begun }
 
+// Complete reports whether a whole response has been passed to the caller's connection.
+func (exchange *Exchange) Complete() bool { return exchange.complete }
+
+// Failed reports whether a part of the response could not be sent.
+func (exchange *Exchange) Failed() bool { return exchange.failed }
+
+// Suppressed reports whether a response has not been sent because another one had begun.
+func (exchange *Exchange) Suppressed() bool { return exchange.suppressed }
+
 // Respond sends a complete response. If another one has begun, it sends nothing, and the caller receives a truncated response.
 func (exchange *Exchange) Respond(status int, header http.Header, body []byte) {
 	if exchange.begun {
+		exchange.suppress()
 		return
 	}
 	out := exchange.newHead(status, header)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	if statusHasBody(status) {
 		fmt.Fprintf(out, "Content-Length: %d\r\n", len(body))
 	}
 	out.WriteString("\r\n")
-	if exchange.method != http.MethodHead {
+	if !exchange.bodiless {
 		out.Write(body)
 	}
 	exchange.complete = exchange.write(out.Bytes())
 }
 
+// suppress records that a second response is not sent. One that has begun and not ended stays truncated, even if End follows: what
+// the handler wanted to be its end belongs to the second one.
+func (exchange *Exchange) suppress() {
+	exchange.suppressed = true
+	exchange.open = false
+}
+
 // Begin sends the status line, the headers and the first part of a response of unknown length. Like Respond, it sends nothing
 // if another one has begun. It reports whether the part could be sent.
 func (exchange *Exchange) Begin(status int, header http.Header, first []byte) bool {
 	if exchange.begun {
+		exchange.suppress()
 		return false
 	}
 	out := exchange.newHead(status, header)
-	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	exchange.chunked = true
-	appendChunk(out, first)
+	if statusHasBody(status) {
+		out.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	out.WriteString("\r\n")
+	if !exchange.bodiless {
+		appendChunk(out, first)
+	}
+	exchange.open = true
 	return exchange.write(out.Bytes())
 }
 
-// Write sends a part of a response that has begun. It reports whether this part and all before it could be sent.
+// Write sends a part of a response that Begin has begun. It reports whether this part and all before it could be sent.
 func (exchange *Exchange) Write(part []byte) bool {
+	if !exchange.open {
+		return false
+	}
+	if exchange.bodiless {
+		return !exchange.failed
+	}
 	var out bytes.Buffer
 	appendChunk(&out, part)
 	return exchange.write(out.Bytes())
@@ -96,17 +130,31 @@
 	_, _ = writer.Write(part)
 }
 
-// End marks a response that has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
+// End marks a response that Begin has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
 // truncated response.
 func (exchange *Exchange) End() {
+	if !exchange.open {
+		return
+	}
+	exchange.open = false
+	if exchange.bodiless {
+		exchange.complete = !exchange.failed
+		return
+	}
 	exchange.complete = exchange.write([]byte("0\r\n\r\n"))
 }
 
+// statusHasBody reports whether responses with a status have a body, which may be empty.
+func statusHasBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // newHead returns the status line and headers of a response, without the headers that determine its length.
 func (exchange *Exchange) newHead(status int, header http.Header) *bytes.Buffer {
 	out := &bytes.Buffer{}
 	fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	_ = header.Write(out)
+	exchange.bodiless = exchange.method == http.MethodHead || !statusHasBody(status)
 	exchange.lastResponse = exchange.close || exchange.conn.server.draining.Load()
 	if exchange.lastResponse {
 		out.WriteString("Connection: close\r\n")
