A response that is sent anew is no part of a body with a length or chunks

Callers got a response as whole whose body was the beginning of the server's body, and behind it the head of a second copy of the response, up to the length of the body. With chunks, they got the same bytes before the response was cut off.

Cause: a server that broke off within a body sent the response again from its start on the same connection. A body with a length takes any bytes up to it. Only bodies without a length or chunks were searched for further responses.

TestResponseThatIsSentAnewAfterAPart failed at every place of the cut within these bodies, with a length as whole.

All bodies are searched now. With a length or chunks, a head counts only if it has the ID of the request itself, and one at the end of the body only if it goes on in the bytes that have arrived behind it; what merely looks like one is passed on (TestBodiesThatContainHeadsAreWhole). After a failed read, bytes that may begin a head are dropped instead of passed on.

--- /dev/null
+++ b/io/link/again_test.go
@@ -0,0 +1,69 @@
+package link
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a response that is sent anew after a part of it, on the same connection: the second head must not be taken for a
+// part of the body, whatever the framing, and the response must not look whole.
+func TestResponseThatIsSentAnewAfterAPart(t *testing.T) {
+	const body = "0123456789012345678901234567890123456789"
+	headers := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s\r\n"
+	for name, whole := range map[string]string{
+		"length": headers + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks": headers + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"none":   headers + "\r\n" + body,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := len(headers); cut < len(whole); cut++ {
+				server := newFakeServer(t, func(conn net.Conn, _ int, _ string) bool {
+					write(conn, whole[:cut]+whole)
+					return false
+				})
+				got, _, err := send(newPool(t), server, "a")
+				if err == nil || !strings.HasPrefix(body, got) {
+					t.Errorf("cut at %d: %q, %v", cut, got, err)
+				}
+			}
+		})
+	}
+}
+
+// A body with a length or chunks may contain responses of others, and end with the beginning of one.
+func TestBodiesThatContainHeadsAreWhole(t *testing.T) {
+	for name, body := range map[string]string{
+		"response without an ID":             "xHTTP/1.1 200 OK\r\nA: b\r\n\r\ny",
+		"response to another request":        "xHTTP/1.1 200 OK\r\nX-Id: b\r\n\r\ny",
+		"status line":                        "xHTTP/1.1 200 OK\r\n",
+		"status line without its end":        "xHTTP/1.1 200",
+		"beginning of a status line":         "xHTT",
+		"head without its end":               "HTTP/1.1 200 OK\r\nX-Id: a\r\n",
+		"head of the response, without end":  "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r",
+		"beginning of a head and of another": "HTTP/1.1 200 OK\r\nX-Id: a\r\nHTTP/1.",
+	} {
+		for framing, whole := range map[string]string{
+			"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+			"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				is := is.New(t)
+				server := newFakeServer(t, func(conn net.Conn, _ int, id string) bool {
+					write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n"+whole)
+					return true
+				})
+				pool := newPool(t)
+				for range 3 {
+					got, _, err := send(pool, server, "a")
+					is.NoErr(err)
+					is.Equal(got, body)
+				}
+				is.Equal(server.conns.Load(), int64(1))
+			})
+		}
+	}
+}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -174,19 +174,32 @@
 	return err
 }
 
-// watchBody makes the reading of a body that ends with its connection fail at the beginning of another response.
+// watchBody makes the reading of a body fail at the beginning of another response. A server may send one in a body that ends with its
+// connection, and one to the same request after a part of any body.
 func (response *Response) watchBody(request *Request) {
-	if !response.EndsWithConnection() {
-		return
-	}
-	source, conn := response.response.Body, response.conn
-	response.response.Body = io.NopCloser(NewUnframedBody(source, func(second *http.Response) bool {
-		if request.ResponseID(second.StatusCode, second.Header) == "" {
+	source, conn, ends := response.response.Body, response.conn, response.EndsWithConnection()
+	isResponse := func(second *http.Response) bool {
+		id := request.ResponseID(second.StatusCode, second.Header)
+		if id == "" || !ends && id != request.ID {
 			return false
 		}
 		conn.pool.onSurplus(conn.key.incarnation.ID, SurplusInBody, second)
 		return true
-	}))
+	}
+	if ends {
+		response.response.Body = io.NopCloser(NewUnframedBody(source, isResponse))
+		return
+	}
+	response.response.Body = io.NopCloser(newFramedBody(source, isResponse, conn.arrived))
+}
+
+// arrived returns the bytes that have arrived and not been read, up to the size of the read buffer.
+func (conn *conn) arrived() []byte {
+	if _, unread := peek(conn.raw); unread && conn.reader.Buffered() == 0 {
+		_, _ = conn.reader.Peek(1)
+	}
+	content, _ := conn.reader.Peek(conn.reader.Buffered())
+	return content
 }
 
 // check checks the headers and records whether, and for how long, the connection may be kept.
--- a/io/link/surplus.go
+++ b/io/link/surplus.go
@@ -8,7 +8,7 @@
 const (
 	// SurplusResponse is a response to another request, in the place of the expected one. It is skipped.
 	SurplusResponse Surplus = "response_to_another_request"
-	// SurplusInBody is a response inside a body that has neither a length nor chunks. The body counts as broken off there.
+	// SurplusInBody is a response inside a body. The body counts as broken off there.
 	SurplusInBody Surplus = "response_in_a_body"
 	// SurplusAfterResponse stands for bytes that arrived after the end of a response. Their connection is closed.
 	SurplusAfterResponse Surplus = "bytes_after_a_response"
--- a/io/link/unframed.go
+++ b/io/link/unframed.go
@@ -8,16 +8,15 @@
 	"net/http"
 )
 
-// ErrSecondResponse means that a body without a length or chunks was followed by another response. What came before it may be whole
-// or not.
-var ErrSecondResponse = errors.New("another response follows in a body without a length or chunks")
+// ErrSecondResponse means that another response began in a body. What came before it may be whole, if the body has neither a length
+// nor chunks, or not.
+var ErrSecondResponse = errors.New("another response follows in a body")
 
 // statusLineForm is the form of the beginning of a status line, with 0 in the place of any digit.
 var statusLineForm = []byte("HTTP/0.0 000")
 
-// unframedBody reads the body of a response that has neither a length nor chunks and ends with its connection. It holds back bytes
-// that may be the head of another response, and fails if they are one.
-type unframedBody struct {
+// watchedBody reads the body of a response. It holds back bytes that may be the head of another response, and fails if they are one.
+type watchedBody struct {
 	source io.Reader
 	buffer []byte
 	// pending holds what has been read and not been returned. The first safe bytes of it are no part of another response.
@@ -27,80 +26,121 @@
 	err error
 	// isResponse reports whether a head is that of a response, and not a part of a body.
 	isResponse func(response *http.Response) bool
+	// following returns what has arrived after the end of a body with a length or chunks; it is nil for other bodies.
+	following func() []byte
 }
 
 // NewUnframedBody returns a reader of a body that has neither a length nor chunks. It fails with ErrSecondResponse at the beginning of
 // a further response for which isResponse returns true.
 func NewUnframedBody(source io.Reader, isResponse func(response *http.Response) bool) io.Reader {
-	return &unframedBody{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse}
+	return &watchedBody{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse}
+}
+
+// newFramedBody is NewUnframedBody for a body with a length or chunks. A head at its end is that of another response only if it goes
+// on in the bytes that follow the body.
+func newFramedBody(source io.Reader, isResponse func(response *http.Response) bool, following func() []byte) io.Reader {
+	return &watchedBody{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse, following: following}
 }
 
 // Read implements io.Reader.
-func (unframedBody *unframedBody) Read(buffer []byte) (int, error) {
+func (watchedBody *watchedBody) Read(buffer []byte) (int, error) {
 	for {
-		if unframedBody.safe > 0 {
-			count := copy(buffer, unframedBody.pending[:unframedBody.safe])
-			unframedBody.pending, unframedBody.safe = unframedBody.pending[count:], unframedBody.safe-count
+		if watchedBody.safe > 0 {
+			count := copy(buffer, watchedBody.pending[:watchedBody.safe])
+			watchedBody.pending, watchedBody.safe = watchedBody.pending[count:], watchedBody.safe-count
 			return count, nil
 		}
-		if err := unframedBody.scan(); err != nil {
+		if err := watchedBody.scan(); err != nil {
 			return 0, err
 		}
-		if unframedBody.safe > 0 {
+		if watchedBody.safe > 0 {
 			continue
 		}
-		if unframedBody.err != nil {
-			return 0, unframedBody.err
+		if watchedBody.err != nil {
+			return 0, watchedBody.err
 		}
-		count, err := unframedBody.source.Read(unframedBody.buffer)
-		unframedBody.pending = append(unframedBody.pending, unframedBody.buffer[:count]...)
-		unframedBody.err = err
+		count, err := watchedBody.source.Read(watchedBody.buffer)
+		watchedBody.pending = append(watchedBody.pending, watchedBody.buffer[:count]...)
+		watchedBody.err = err
 	}
 }
 
 // scan finds out how many of the pending bytes are safe: all up to the first that may begin a status line.
-func (unframedBody *unframedBody) scan() error {
-	pending := unframedBody.pending
+func (watchedBody *watchedBody) scan() error {
+	pending := watchedBody.pending
 	start := indexStatusLine(pending)
 	switch {
 	case start > 0:
-		unframedBody.safe = start
+		watchedBody.safe = start
 		return nil
 	case start < 0:
-		unframedBody.safe = len(pending)
+		watchedBody.safe = len(pending)
 		return nil
 	case len(pending) < len(statusLineForm):
-		if unframedBody.err != nil {
-			unframedBody.safe = len(pending)
+		if watchedBody.goesOn() {
+			return ErrSecondResponse
+		}
+		if watchedBody.brokeOff() {
+			return watchedBody.err
+		}
+		if watchedBody.err != nil {
+			watchedBody.safe = len(pending)
 		}
 		return nil
 	}
-	return unframedBody.scanHead()
+	return watchedBody.scanHead()
 }
 
 // scanHead decides whether the pending bytes, which begin with a status line, are a response.
-func (unframedBody *unframedBody) scanHead() error {
-	pending := unframedBody.pending
+func (watchedBody *watchedBody) scanHead() error {
+	pending := watchedBody.pending
 	switch end := bytes.Index(pending, headEnd); {
 	case end >= 0:
-		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(pending[:end+len(headEnd)])), nil)
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		if err == nil && unframedBody.isResponse(response) {
+		if watchedBody.beginsResponse(pending) {
 			return ErrSecondResponse
 		}
 	case !maybeHead(pending):
-	case unframedBody.err != nil && bytes.Contains(pending, lineEnd):
+	case watchedBody.goesOn():
+		return ErrSecondResponse
+	case watchedBody.brokeOff():
+		return watchedBody.err
+	case watchedBody.following == nil && watchedBody.err != nil && bytes.Contains(pending, lineEnd):
 		// A second response that was cut off in its head.
 		return ErrSecondResponse
-	case unframedBody.err == nil && len(pending) <= maxHeadBytes:
+	case watchedBody.err == nil && len(pending) <= maxHeadBytes:
 		return nil
 	}
-	unframedBody.safe = len(statusLineForm)
+	watchedBody.safe = len(statusLineForm)
 	return nil
 }
 
+// beginsResponse reports whether content begins with the whole head of a response.
+func (watchedBody *watchedBody) beginsResponse(content []byte) bool {
+	end := bytes.Index(content, headEnd)
+	if end < 0 {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(content[:end+len(headEnd)])), nil)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return watchedBody.isResponse(response)
+}
+
+// brokeOff reports whether the source has failed. Its last bytes may be those of another response then.
+func (watchedBody *watchedBody) brokeOff() bool {
+	return watchedBody.err != nil && !errors.Is(watchedBody.err, io.EOF)
+}
+
+// goesOn reports whether the pending bytes end a body with a length or chunks, and are part of a head that goes on after it.
+func (watchedBody *watchedBody) goesOn() bool {
+	if watchedBody.following == nil || !errors.Is(watchedBody.err, io.EOF) {
+		return false
+	}
+	return watchedBody.beginsResponse(append(bytes.Clone(watchedBody.pending), watchedBody.following()...))
+}
+
 // maybeHead reports whether content may be the beginning of a head, as far as its lines are complete.
 func maybeHead(content []byte) bool {
 	for number := 0; ; number++ {
