A response that is sent anew is no part of a header

Callers got a response as whole in which a header, such as the server's signature, ended with the status line of a second copy.

Cause: a server that broke off within a header sent the response again on the same connection, so that the rest of the head and the body came from the copy. The parser has no reason to reject that head.

TestHeadThatIsSentAnewAfterAPart failed for cuts within the signature. A head in which a header ends with the status line of the response itself is an invalid response now.

--- a/io/link/again_test.go
+++ b/io/link/again_test.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// Guards against the same after a part of the head: the second status line must not end up in a header of the first head.
+func TestHeadThatIsSentAnewAfterAPart(t *testing.T) {
+	is := is.New(t)
+	whole := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: signature\r\nContent-Length: 2\r\n\r\nok"
+	for cut := len("HTTP/1.1 200 OK\r\n"); cut < strings.Index(whole, "\r\n\r\n")+3; cut++ {
+		server := newFakeServer(t, func(conn net.Conn, _ int, _ string) bool {
+			write(conn, whole[:cut]+whole)
+			return false
+		})
+		_, status, err := send(newPool(t), server, "a")
+		is.Equal(status, 0)
+		is.True(err != nil)
+	}
+}
+
 // A body with a length or chunks may contain responses of others, and end with the beginning of one.
 func TestBodiesThatContainHeadsAreWhole(t *testing.T) {
 	for name, body := range map[string]string{
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,6 +19,7 @@
 	errMismatch = errors.New("the response belongs to another request")
 	errEncoded  = errors.New("the response has a content encoding")
 	errHeadSize = errors.New("the head of the response is too long")
+	errTwoHeads = errors.New("another response follows in the head of the response")
 )
 
 // unlimited is the limit of a limitedReader that reads to the end of its connection.
@@ -208,6 +211,9 @@
 	if header.Get("Content-Encoding") != "" {
 		return errEncoded
 	}
+	if response.hasSecondHead() {
+		return errTwoHeads
+	}
 	response.reusable = !response.response.Close
 	if header.Get("Keep-Alive") != "" {
 		response.conn.idleTimeout = idleTimeoutOf(header)
@@ -215,6 +221,17 @@
 	return nil
 }
 
+// hasSecondHead reports whether a header ends with the status line of the response. The head was cut off there, and sent again.
+func (response *Response) hasSecondHead() bool {
+	statusLine := response.response.Proto + " " + response.response.Status
+	for _, contents := range response.response.Header {
+		if slices.ContainsFunc(contents, func(content string) bool { return strings.HasSuffix(content, statusLine) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Status returns the status code.
 func (response *Response) Status() int { return response.response.StatusCode }
 
