Late copies around HEAD requests are skipped

A sound response failed if the late copy of a response to a HEAD request preceded it on its connection, or if it was the response to a HEAD request itself and the late copy of a response with a body preceded it.

Cause: the responses that are skipped were parsed with the method of the request that waits. The copy was read with a body that it does not have, or without the one that it has.

A response has a body now unless it is the one to a HEAD request, and the connection of a HEAD request is not kept.

--- a/io/link/again_test.go
+++ b/io/link/again_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
+	"lentilproxy/core/spec"
+
 	"github.com/matryer/is"
 )
 
@@ -82,3 +86,36 @@
 		}
 	}
 }
+
+// Guards against late copies around HEAD requests that are read with a body though they have none, or without the one that they have,
+// so that the sound response behind them fails.
+func TestCopiesAroundHeadRequests(t *testing.T) {
+	for _, methods := range [][2]string{{http.MethodHead, http.MethodPost}, {http.MethodPost, http.MethodHead}} {
+		t.Run(fmt.Sprint(methods), func(t *testing.T) {
+			is := is.New(t)
+			late := map[net.Conn]string{}
+			server := newRequestServer(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				response := okResponse(request.Header.Get("X-Id"), "ok")
+				if request.Method == http.MethodHead {
+					response = strings.TrimSuffix(response, "ok")
+				}
+				write(conn, late[conn]+response)
+				late[conn] = response
+				return true
+			})
+			pool := newPool(t)
+			for index, method := range methods {
+				id := fmt.Sprint("request-", index)
+				response, err := pool.Do(t.Context(), spec.Server{ID: "s", Address: server.address}, &Request{
+					Method: method, Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}},
+					ID: id, ResponseID: func(_ int, header http.Header) string { return header.Get("X-Id") },
+				})
+				is.NoErr(err)
+				body, err := io.ReadAll(response)
+				is.NoErr(err)
+				is.Equal(string(body) == "ok", method == http.MethodPost)
+				response.Close()
+			}
+		})
+	}
+}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -60,6 +60,8 @@
 	idleTimeout time.Duration
 	// surplus is set once bytes that belong to no request have been found on the connection.
 	surplus bool
+	// last is set if no further exchange may follow.
+	last bool
 }
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
@@ -131,10 +133,15 @@
 		}()
 	}
 	for range maxSkipped + 1 {
-		if err := response.readHead(request); err != nil {
+		if err := response.readHead(); err != nil {
 			return err
 		}
 		if request.ResponseID(response.response.StatusCode, response.response.Header) == request.ID {
+			if request.Method == http.MethodHead {
+				response.response.Body = http.NoBody
+				// A late copy of the response would be read with a body.
+				response.conn.last = true
+			}
 			response.watchBody(request)
 			return response.check()
 		}
@@ -147,13 +154,14 @@
 	return errMismatch
 }
 
-// readHead reads the status line and headers of the next response that is not informational (1xx).
-func (response *Response) readHead(request *Request) error {
+// readHead reads the status line and headers of the next response that is not informational (1xx). Unless it belongs to a HEAD request,
+// its body follows.
+func (response *Response) readHead() error {
 	response.conn.source.left = maxHeadBytes
 	defer func() { response.conn.source.left = unlimited }()
 	for {
 		//nolint:bodyclose // Close closes or keeps the connection that the body is read from.
-		read, err := http.ReadResponse(response.conn.reader, &http.Request{Method: request.Method})
+		read, err := http.ReadResponse(response.conn.reader, nil)
 		if err != nil {
 			// The parser does not tell a head that was cut off from an invalid one.
 			return errors.Join(err, response.conn.source.err)
@@ -278,7 +286,7 @@
 	// connection is not kept.
 	detached := response.detach()
 	pool := conn.pool
-	keep := detached && response.reusable && response.complete && !response.unsent.Load() && conn.idleTimeout > 0 && conn.usable()
+	keep := detached && response.reusable && response.complete && !response.unsent.Load() && !conn.last && conn.idleTimeout > 0 && conn.usable()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if !keep {
