--- a/io/link/body.go
+++ b/io/link/body.go
@@ -35,14 +35,22 @@
 	found bool
 	// isResponse reports whether a head is that of a response, and not a part of a body.
 	isResponse func(response *http.Response) bool
+	// following returns what has arrived after the end of a body with a length or chunks; it is nil for other bodies.
+	following func() []byte
 }
 
-// NewBody returns a reader of the body of one response. It fails with ErrSecondResponse at the beginning of another one for which
-// isResponse returns true, or that is cut off in its headers.
-func NewBody(source io.Reader, isResponse func(response *http.Response) bool) io.Reader {
+// NewUnframedBody returns a reader of a body that has neither a length nor chunks. It fails with ErrSecondResponse at the beginning of
+// another response for which isResponse returns true, or that is cut off in its headers.
+func NewUnframedBody(source io.Reader, isResponse func(response *http.Response) bool) io.Reader {
 	return &body{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse}
 }
 
+// newFramedBody is NewUnframedBody for a body with a length or chunks. The beginning of a head at its end is that of another response
+// only if it goes on in the bytes that follow the body.
+func newFramedBody(source io.Reader, isResponse func(response *http.Response) bool, following func() []byte) io.Reader {
+	return &body{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse, following: following}
+}
+
 // Read implements io.Reader.
 func (body *body) Read(buffer []byte) (int, error) {
 	for {
@@ -81,34 +89,62 @@
 	case len(body.pending) >= len(statusLineForm):
 		body.scanHead()
 	case body.err != nil:
-		body.safe = len(body.pending)
+		body.scanEnd()
 	}
 }
 
 // scanHead decides whether the pending bytes, which begin with a status line, are a response.
 func (body *body) scanHead() {
-	end, possible := headLength(body.pending)
-	switch {
+	switch length, possible := headLength(body.pending); {
 	case !possible:
 		body.safe = len(statusLineForm)
-	case end > 0:
-		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body.pending[:end])), nil)
-		if err == nil {
-			_ = response.Body.Close()
-			body.found = body.isResponse(response)
-		}
-		body.safe = end
+	case length > 0:
+		body.found = body.isHead(body.pending[:length])
+		body.safe = length
 	case body.err != nil:
-		// A second response that was cut off in its headers. A status line alone may as well end a body.
-		_, headers, _ := bytes.Cut(body.pending, lineEnd)
-		body.found = len(headers) > 0
-		body.safe = len(body.pending)
+		body.scanEnd()
 	}
 	if body.found {
 		body.safe = 0
 	}
 }
 
+// isHead reports whether content is the head of another response.
+func (body *body) isHead(content []byte) bool {
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(content)), nil)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return body.isResponse(response)
+}
+
+// scanEnd decides whether the last bytes of the source, which may begin a head, are a part of a response. After a failure, they are
+// dropped.
+func (body *body) scanEnd() {
+	switch {
+	case !errors.Is(body.err, io.EOF):
+		body.pending = nil
+	case body.following == nil:
+		body.found = hasHeaders(body.pending)
+	default:
+		following := body.following()
+		joined := append(bytes.Clone(body.pending), following...)
+		length, possible := headLength(joined)
+		possible = possible && len(following) > 0 && isStatusLine(joined)
+		body.found = possible && (length == 0 && hasHeaders(joined) || length > 0 && body.isHead(joined[:length]))
+	}
+	if !body.found {
+		body.safe = len(body.pending)
+	}
+}
+
+// hasHeaders reports whether the beginning of a head goes beyond its status line. A status line alone may as well end a body.
+func hasHeaders(content []byte) bool {
+	_, headers, _ := bytes.Cut(content, lineEnd)
+	return len(headers) > 0
+}
+
 // lineEnd ends a line of a head. Like the parser, it does not require a carriage return before it.
 var lineEnd = []byte("\n")
 
--- a/io/link/body_test.go
+++ b/io/link/body_test.go
@@ -55,7 +55,7 @@
 				strings.NewReader(test.content), iotest.OneByteReader(strings.NewReader(test.content)), iotest.DataErrReader(strings.NewReader(test.content)),
 			} {
 				is := is.New(t)
-				body, err := io.ReadAll(NewBody(source, hasID))
+				body, err := io.ReadAll(NewUnframedBody(source, hasID))
 				is.Equal(string(body), test.body)
 				is.Equal(errors.Is(err, ErrSecondResponse), test.broken)
 				is.True(test.broken || err == nil)
@@ -80,7 +80,7 @@
 			parts = append(parts, strings.NewReader(content[:length]))
 			content = content[length:]
 		}
-		body, err := io.ReadAll(NewBody(io.MultiReader(parts...), hasID))
+		body, err := io.ReadAll(NewUnframedBody(io.MultiReader(parts...), hasID))
 		if !bytes.HasPrefix([]byte(first), body) {
 			check.Fatalf("read %q of %q", body, first)
 		}
@@ -99,7 +99,7 @@
 	near, far := net.Pipe()
 	defer func() { _, _ = near.Close(), far.Close() }()
 	is.NoErr(near.SetDeadline(time.Now().Add(10 * time.Second)))
-	body := NewBody(near, hasID)
+	body := NewUnframedBody(near, hasID)
 	buffer := make([]byte, 64)
 	for _, part := range []string{
 		"data: 1\n\n", "data: HTTP/1.1 404 Not Found\n\n", "data: HTTP/1.1 404 x\r\n\r\n\r\n", "HTTP\n\n", "HTTP/1.1 200 a\r\nb\r\n\r\n",
@@ -129,7 +129,7 @@
 			is := is.New(t)
 			content := strings.Repeat(line, length/len(line)) + ".\r\n\r\n"
 			startedAt := time.Now()
-			got, err := io.ReadAll(NewBody(strings.NewReader(content), hasID))
+			got, err := io.ReadAll(NewUnframedBody(strings.NewReader(content), hasID))
 			is.NoErr(err)
 			is.Equal(string(got), content)
 			is.True(time.Since(startedAt) < time.Second)
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,6 +19,7 @@
 	errMismatch = errors.New("the response belongs to another request")
 	errEncoded  = errors.New("the response has a content encoding")
 	errHeadSize = errors.New("the head of the response is too long")
+	errTwoHeads = errors.New("another response follows in the head of the response")
 )
 
 // unlimited is the limit of a limitedReader that reads to the end of its connection.
@@ -57,6 +60,8 @@
 	idleTimeout time.Duration
 	// surplus is set once bytes that belong to no request have been found on the connection.
 	surplus bool
+	// last is set if no further exchange may follow.
+	last bool
 }
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
@@ -130,10 +135,15 @@
 		}()
 	}
 	for range maxSkipped + 1 {
-		if err := response.readHead(request); err != nil {
+		if err := response.readHead(); err != nil {
 			return err
 		}
 		if request.ResponseID(response.response.StatusCode, response.response.Header) == request.ID {
+			if request.Method == http.MethodHead {
+				response.response.Body = http.NoBody
+				// A late copy of the response would be read with a body.
+				response.conn.last = true
+			}
 			response.watchBody(request)
 			return response.check()
 		}
@@ -146,13 +156,14 @@
 	return errMismatch
 }
 
-// readHead reads the status line and headers of the next response that is not informational (1xx).
-func (response *Response) readHead(request *Request) error {
+// readHead reads the status line and headers of the next response that is not informational (1xx). Unless it belongs to a HEAD request,
+// its body follows.
+func (response *Response) readHead() error {
 	response.conn.source.left = maxHeadBytes
 	defer func() { response.conn.source.left = unlimited }()
 	for {
 		//nolint:bodyclose // Close closes or keeps the connection that the body is read from.
-		read, err := http.ReadResponse(response.conn.reader, &http.Request{Method: request.Method})
+		read, err := http.ReadResponse(response.conn.reader, nil)
 		if err != nil {
 			// The parser does not tell a head that was cut off from an invalid one.
 			return errors.Join(err, response.conn.source.err)
@@ -176,15 +187,32 @@
 	return err
 }
 
-// watchBody makes the reading of the body fail at the beginning of another response.
+// watchBody makes the reading of a body fail at the beginning of another response. A server may send any one in a body that ends with
+// its connection, and one to the same request after a part of a body with a length or chunks.
 func (response *Response) watchBody(request *Request) {
-	response.response.Body = io.NopCloser(NewBody(response.response.Body, func(second *http.Response) bool {
-		if request.ResponseID(second.StatusCode, second.Header) == "" {
+	source, ends := response.response.Body, response.EndsWithConnection()
+	isResponse := func(second *http.Response) bool {
+		id := request.ResponseID(second.StatusCode, second.Header)
+		if id == "" || !ends && id != request.ID {
 			return false
 		}
 		response.second = second
 		return true
-	}))
+	}
+	if ends {
+		response.response.Body = io.NopCloser(NewUnframedBody(source, isResponse))
+		return
+	}
+	response.response.Body = io.NopCloser(newFramedBody(source, isResponse, response.conn.arrived))
+}
+
+// arrived returns the bytes that have arrived and not been read, up to the size of the read buffer.
+func (conn *conn) arrived() []byte {
+	if _, unread := peek(conn.raw); unread && conn.reader.Buffered() == 0 {
+		_, _ = conn.reader.Peek(1)
+	}
+	content, _ := conn.reader.Peek(conn.reader.Buffered())
+	return content
 }
 
 // check checks the headers and records whether, and for how long, the connection may be kept.
@@ -193,6 +221,9 @@
 	if header.Get("Content-Encoding") != "" {
 		return errEncoded
 	}
+	if response.hasSecondHead() {
+		return errTwoHeads
+	}
 	response.reusable = !response.response.Close
 	if header.Get("Keep-Alive") != "" {
 		response.conn.idleTimeout = idleTimeoutOf(header)
@@ -200,6 +231,17 @@
 	return nil
 }
 
+// hasSecondHead reports whether a header ends with the status line of the response. The head was cut off there, and sent again.
+func (response *Response) hasSecondHead() bool {
+	statusLine := response.response.Proto + " " + response.response.Status
+	for _, contents := range response.response.Header {
+		if slices.ContainsFunc(contents, func(content string) bool { return strings.HasSuffix(content, statusLine) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Status returns the status code.
 func (response *Response) Status() int { return response.response.StatusCode }
 
@@ -250,7 +292,7 @@
 	// connection is not kept.
 	detached := response.detach()
 	pool := conn.pool
-	keep := detached && response.reusable && response.complete && !response.unsent.Load() && conn.idleTimeout > 0 && conn.usable()
+	keep := detached && response.reusable && response.complete && !response.unsent.Load() && !conn.last && conn.idleTimeout > 0 && conn.usable()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if !keep {
