Own interface: a second response is no part of a service's body

Cause: exchange reads everything up to the end of the connection if a response has neither a length nor chunks. Such bodies are now read with link.NewUnframedBody, and count as broken off at the beginning of another response: orders get 502 and keep their claim, requests that may be repeated go to another server.

Responses on this interface do not name their requests, so any whole head ends such a body, also one that a sound body contains with its carriage returns. A response that is not passed on is told to its caller, one that is joined with another is not. Bodies of the types message/http and application/http are exempt, and bodies with a length or chunks pass unchanged.

Completions that are not streamed are read in the same way. They were not passed on before either, since they were no JSON, but counted as answers for another adapter.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +14,7 @@
 	"time"
 
 	"lentilproxy/io/block"
+	"lentilproxy/io/link"
 )
 
 const (
@@ -106,8 +108,26 @@
 	})
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+// bodyReader returns a reader of the body of a response. A body that has neither a length nor chunks ends with its connection. If
+// another response follows it there, the reader fails: whether the body before it is whole cannot be told.
+func (gate *Gate) bodyReader(response *http.Response) io.Reader {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return response.Body
+	}
+	// Bodies of these types are heads and bodies of HTTP messages.
+	switch mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); mediaType {
+	case "message/http", "application/http":
+		return response.Body
+	}
+	return link.NewUnframedBody(response.Body, func(second *http.Response) bool {
+		gate.metrics.Tagged(map[string]string{"kind": string(link.SurplusInBody)}).Counter("surplus_from_servers").Inc(1)
+		gate.log.Info("a server sent another response in a body without a length or chunks", "status", second.StatusCode)
+		return true
+	})
+}
+
+func (gate *Gate) readBody(response *http.Response) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(response), maxResponseBytes+1))
 	if err == nil && len(content) > maxResponseBytes {
 		return nil, io.ErrShortBuffer
 	}
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/setup"
@@ -21,7 +23,9 @@
 )
 
 func testGate() *Gate {
-	return &Gate{settings: &setup.Settings{Traffic: setup.Traffic{DefaultMaxTokens: 16, MaxBodyBytes: 1 << 20}}}
+	return &Gate{
+		settings: &setup.Settings{Traffic: setup.Traffic{DefaultMaxTokens: 16, MaxBodyBytes: 1 << 20}}, log: logr.Discard(), metrics: tally.NoopScope,
+	}
 }
 
 func TestRewriteModel(t *testing.T) {
@@ -162,7 +166,7 @@
 				is.True(stream.err != nil)
 				is.Equal(len(stream.events), 0)
 			default:
-				_, err = readBody(result.response)
+				_, err = testGate().readBody(result.response)
 				is.True(err != nil)
 			}
 			if result.err == nil {
--- /dev/null
+++ b/io/gate/second_response_test.go
@@ -0,0 +1,78 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+)
+
+const (
+	unframedHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+	orderBody    = `{"order":"1"}`
+)
+
+// framed returns a response with a length.
+func framed(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Guards against a second response that is taken for a part of a body without a length or chunks, passed on as a success, and
+// stored for replays.
+func TestSecondResponseIsNoPartOfABodyWithoutLength(t *testing.T) {
+	deployment := newDeployment(t, 1)
+	server := deployment.servers[0]
+	for name, second := range map[string]string{
+		"copy":               unframedHead + orderBody,
+		"with a length":      framed(orderBody),
+		"in chunks":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n" + orderBody + "\r\n0\r\n\r\n",
+		"error":              "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+		"older version":      "HTTP/1.0 200 OK\r\nServer: a\r\n\r\n" + orderBody,
+		"cut off in a head":  "HTTP/1.1 200 OK\r\nContent-Ty",
+		"informational":      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + unframedHead + orderBody,
+		"two copies":         strings.Repeat(unframedHead+orderBody, 2),
+		"after a line's end": "\r\n" + unframedHead + orderBody,
+	} {
+		for route, want := range map[string]int{"orders": http.StatusBadGateway, "stock": http.StatusBadGateway} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				is := is.New(t)
+				server.respondWith(unframedHead + orderBody + second)
+				path, key := "/services/"+route+"/"+uuid.NewString(), uuid.NewString()
+				got := deployment.post(path, key, "{}")
+				t.Logf("%d %q", got.status, got.body)
+				is.Equal(got.status, want)
+				is.True(!strings.Contains(got.body, "HTTP/1."))
+				if route == "orders" {
+					// The order ran, and nothing else is stored for it.
+					again := deployment.post(path, key, "{}")
+					is.Equal(again.status, http.StatusConflict)
+				}
+			})
+		}
+	}
+	t.Run("sound, messages", func(t *testing.T) {
+		is := is.New(t)
+		body := orderBody + unframedHead
+		server.respondWith("HTTP/1.1 200 OK\r\nContent-Type: message/http; version=1.1\r\n\r\n" + body)
+		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, body)
+	})
+	for name, body := range map[string]string{
+		"plain":                     orderBody,
+		"quoted status line":        `{"log":"HTTP/1.1 200 OK\r\n\r\n"}`,
+		"access log":                "\"GET / HTTP/1.1\" 200 7\r\n\r\n\"GET / HTTP/1.1\" 200 7\r\n",
+		"head with plain line ends": "HTTP/1.1 200 OK\nA: b\n\nbody",
+	} {
+		t.Run("sound, "+name, func(t *testing.T) {
+			is := is.New(t)
+			server.respondWith(unframedHead + body)
+			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, body)
+		})
+	}
+}
