Own interface: a second response is no part of a stream

Cause: a stream that has neither a length nor chunks was cut, and the server responded again on the same connection. The head of the second response has no line with data, so that it was skipped like an event without data, and its events followed. The check of the adapter's name does not tell two responses to one request apart.

Streams are now read like bodies: the first response counts as broken off at the beginning of the second one.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -28,6 +28,10 @@
 	}
 }
 
+func testStream() *stream {
+	return &stream{completion: &completion{call: &call{gate: testGate()}}, events: make(chan []byte, maxBufferedEvents)}
+}
+
 func TestRewriteModel(t *testing.T) {
 	completion := &completion{model: "shop/ribs@v2"}
 	for _, test := range []struct {
@@ -161,7 +165,7 @@
 			switch {
 			case result.err != nil:
 			case test.stream:
-				stream := &stream{events: make(chan []byte, maxBufferedEvents)}
+				stream := testStream()
 				stream.read(ctx, result.response)
 				is.True(stream.err != nil)
 				is.Equal(len(stream.events), 0)
@@ -218,7 +222,7 @@
 			result := call.send(t.Context(), client, "http://"+listener.Addr().String()+"/", []byte("{}"))
 			is.NoErr(result.err)
 			defer func() { _ = result.response.Body.Close() }()
-			stream := &stream{events: make(chan []byte, maxBufferedEvents)}
+			stream := testStream()
 			stream.read(t.Context(), result.response)
 			var events []string
 			for event := range stream.events {
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -26,8 +26,11 @@
 	"lentilproxy/io/table"
 )
 
-// testQueueTimeout bounds how long a request of a test waits for its adapter.
-const testQueueTimeout = 5 * time.Second
+const (
+	testModel = "shop/a@v1"
+	// testQueueTimeout bounds how long a request of a test waits for its adapter.
+	testQueueTimeout = 5 * time.Second
+)
 
 // rawServer is an engine and a plain service that writes the bytes of its responses to requests as a test says.
 type rawServer struct {
@@ -219,3 +222,27 @@
 	content, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, replayed: response.Header.Get(HeaderReplayed) != "", body: string(content), err: err}
 }
+
+// complete sends a request for a completion.
+func (deployment *deployment) complete(prompt string, stream bool) answer {
+	return deployment.post("/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":%t,"max_tokens":8}`, testModel, prompt, stream))
+}
+
+// event returns an event of an engine's stream.
+func event(number int) string {
+	return fmt.Sprintf("data: {\"model\":\"MODEL\",\"number\":%d}\n\n", number)
+}
+
+const endEvent = "data: [DONE]\n\n"
+
+// events returns a stream of an engine without its end marker.
+func events(count int) string {
+	text := strings.Builder{}
+	for number := range count {
+		text.WriteString(event(number))
+	}
+	return text.String()
+}
+
+// publicEvents returns a stream as a caller receives it, without its end marker.
+func publicEvents(count int) string { return strings.ReplaceAll(events(count), "MODEL", testModel) }
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -76,3 +76,54 @@
 		})
 	}
 }
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// chunked returns a response in chunks, each of which is one part.
+func chunked(parts ...string) string {
+	text := strings.Builder{}
+	text.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, part := range parts {
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+	}
+	return text.String() + "0\r\n\r\n"
+}
+
+// Guards against events of a second response that are passed on after those of the first one, as one stream that looks whole.
+func TestSecondResponseIsNoPartOfAStream(t *testing.T) {
+	deployment := newDeployment(t, 1)
+	whole := streamHead + events(4) + endEvent
+	for name, test := range map[string]struct {
+		content string
+		// received is the number of events that the caller gets, and complete is set if its response is whole.
+		received int
+		complete bool
+	}{
+		"sound":                             {whole, 4, true},
+		"whole, then a copy":                {whole + whole, 4, true},
+		"cut between events, then a copy":   {streamHead + events(2) + whole, 2, false},
+		"cut after a line, then a copy":     {streamHead + events(2) + strings.TrimSuffix(event(2), "\n") + whole, 2, false},
+		"cut within a field, then a copy":   {streamHead + events(2) + "da" + whole, 2, false},
+		"cut within an event, then a copy":  {streamHead + events(2) + event(2)[:9] + whole, 2, false},
+		"cut between events, then chunks":   {streamHead + events(2) + chunked(events(4), endEvent), 2, false},
+		"cut between events, then a length": {streamHead + events(2) + framed(events(4)+endEvent), 2, false},
+		"cut between events, then an error": {streamHead + events(2) + "HTTP/1.1 500 x\r\nA: b\r\n\r\n" + endEvent, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			deployment.servers[0].respondWith(test.content)
+			got := deployment.complete(uuid.NewString(), true)
+			t.Logf("%d %v %q", got.status, got.err, got.body)
+			is.Equal(got.status, http.StatusOK)
+			rest, found := strings.CutPrefix(got.body, publicEvents(test.received))
+			is.True(found)
+			if test.complete {
+				is.NoErr(got.err)
+				is.Equal(rest, endEvent)
+				return
+			}
+			is.True(got.err != nil)
+			is.True(strings.HasPrefix(rest, "event: error\n"))
+		})
+	}
+}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -136,10 +136,10 @@
 	lastEventAt time.Time
 }
 
-// read reads events until the response ends. The end of the response may break off an event, which is then dropped.
+// read reads events until the response ends, or until another response begins. Either may break off an event, which is then dropped.
 func (stream *stream) read(ctx context.Context, response *http.Response) {
 	defer close(stream.events)
-	scanner := bufio.NewScanner(response.Body)
+	scanner := bufio.NewScanner(stream.completion.gate.bodyReader(response))
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
