Each call of the table has a connection

What callers could see: an order that ran twice, a withdrawn key that stayed in force, or an outcome of another order. A late copy of a response of the table service, on a connection that was in use again, was taken for the response to the next call: a transaction whose condition did not hold counted as committed, a read returned the rows, or the proof of freshness, of an earlier one.

Cause: net/http closes an idle connection on which bytes arrive, but bytes that arrive after the next request has been written are its response, and responses of the table do not name their requests. Calls of the table do not keep their connections now, as those of backend servers do not.

Evidence: TestLateCopyIsNotTheNextResponse failed before: the transaction of row-1, which the table had not committed, counted as committed.

--- a/io/table/table.go
+++ b/io/table/table.go
@@ -49,7 +49,8 @@
 	client := &Client{
 		base:    "http://" + address,
 		timeout: DefaultTimeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		// A second copy of a response may arrive late, and responses do not identify their requests, so each call has a connection.
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for _, option := range options {
 		option(client)
