Own interface: a copy does not fill up a body that was broken off

Cause: a server broke off a response with a length and responded again on the same connection. The length was reached with bytes of the second response, and nothing looked at what followed them. The connection of a request now records where the body begins and what was read behind its end. A body counts as broken off if a head begins in it and goes on behind its end, or if a head in it has the body's own length. Bodies that contain heads, and bodies that are followed by a whole copy, pass unchanged.

Completions need no such check: they are passed on as JSON and events only.

Evidence: TestSecondResponseDoesNotFillUpABody failed before in its five forms that are cut (200 instead of 502).

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -34,7 +34,15 @@
 // freshness and the write could send a request that an outdated configuration allowed.
 type checkedConn struct {
 	net.Conn
-	fresh func(now time.Time) bool
+	fresh   func(now time.Time) bool
+	receipt receipt
+}
+
+// Read implements net.Conn.
+func (conn *checkedConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	conn.receipt.record(buffer[:count])
+	return count, err
 }
 
 // Write implements net.Conn.
@@ -62,12 +70,20 @@
 	err      error
 	// connected is set if a connection was obtained, so that a byte of the request may have reached the server.
 	connected bool
+	// receipt belongs to the connection, or is nil.
+	receipt *receipt
 }
 
 // send sends the request to a backend server once. The transport never retries it.
 func (call *call) send(ctx context.Context, client *http.Client, url string, body []byte) sendResult {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var receipt atomic.Pointer[receipt]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if conn, isChecked := info.Conn.(*checkedConn); isChecked {
+			receipt.Store(&conn.receipt)
+		}
+	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.request.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return sendResult{err: err}
@@ -83,7 +99,7 @@
 	request.Header.Set(HeaderRequestID, call.id)
 	//nolint:bodyclose // The caller closes the body of the response.
 	response, err := client.Do(request)
-	return sendResult{response: response, err: err, connected: connected.Load()}
+	return sendResult{response: response, err: err, connected: connected.Load(), receipt: receipt.Load()}
 }
 
 // reachable reports whether a TCP connection to an address can be opened.
@@ -120,16 +136,28 @@
 		return response.Body
 	}
 	return link.NewUnframedBody(response.Body, func(second *http.Response) bool {
-		gate.metrics.Tagged(map[string]string{"kind": string(link.SurplusInBody)}).Counter("surplus_from_servers").Inc(1)
-		gate.log.Info("a server sent another response in a body without a length or chunks", "status", second.StatusCode)
+		gate.countSurplus(second.StatusCode)
 		return true
 	})
 }
 
-func (gate *Gate) readBody(response *http.Response) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(response), maxResponseBytes+1))
-	if err == nil && len(content) > maxResponseBytes {
+// readBody reads the body of a response completely.
+func (gate *Gate) readBody(result sendResult) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(result.response), maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(content) > maxResponseBytes:
 		return nil, io.ErrShortBuffer
+	case result.response.ContentLength > 0 && result.receipt != nil && containsResponse(content, result.receipt.surplus(result.response.ContentLength)):
+		gate.countSurplus(result.response.StatusCode)
+		return nil, link.ErrSecondResponse
 	}
-	return content, err
+	return content, nil
+}
+
+// countSurplus records that a body contained another response.
+func (gate *Gate) countSurplus(status int) {
+	gate.metrics.Tagged(map[string]string{"kind": string(link.SurplusInBody)}).Counter("surplus_from_servers").Inc(1)
+	gate.log.Info("a server sent another response within a body", "status", status)
 }
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -127,3 +127,39 @@
 		})
 	}
 }
+
+// Guards against a body with a length that was broken off and is filled up with the beginning of a copy.
+func TestSecondResponseDoesNotFillUpABody(t *testing.T) {
+	deployment := newDeployment(t, 1)
+	long := strings.Repeat("long ", 2000)
+	text := "HTTP/1.1 404 Not Found\r\nA: b\r\n\r\nbody"
+	for name, test := range map[string]struct {
+		content, body string
+	}{
+		"whole":                               {framed(orderBody), orderBody},
+		"whole, then a copy":                  {framed(orderBody) + framed(orderBody), orderBody},
+		"whole with a head":                   {framed(text), text},
+		"whole with a head, then a copy":      {framed(text) + framed(text), text},
+		"whole with a head, then a line":      {framed(text) + "\r\n", text},
+		"whole with a status line, then more": {framed("HTTP/1.1 200 is a status line.\nAnother line.\r\n\r\n") + "more", "HTTP/1.1 200 is a status line.\nAnother line.\r\n\r\n"},
+		"end like a status line":              {framed("HTTP/1.1 "), "HTTP/1.1 "},
+		"cut before the body":                 {strings.TrimSuffix(framed(orderBody), orderBody) + framed(orderBody), ""},
+		"cut within the body":                 {strings.TrimSuffix(framed(orderBody), orderBody[4:]) + framed(orderBody), ""},
+		"cut at the last byte":                {strings.TrimSuffix(framed(orderBody), "}") + framed(orderBody), ""},
+		"cut, then an error":                  {strings.TrimSuffix(framed(orderBody), orderBody[4:]) + "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", ""},
+		"long body, cut":                      {strings.TrimSuffix(framed(long), long[4000:]) + framed(long), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			deployment.servers[0].respondWith(test.content)
+			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+			t.Logf("%d %.200q", got.status, got.body)
+			if test.body == "" {
+				is.Equal(got.status, http.StatusBadGateway)
+				return
+			}
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, test.body)
+		})
+	}
+}
--- a/io/gate/service.go
+++ b/io/gate/service.go
@@ -197,7 +197,7 @@
 	}
 	defer func() { _ = result.response.Body.Close() }()
 	serviceCall.gate.recordNotices(slot.Server(), result.response)
-	content, err := serviceCall.gate.readBody(result.response)
+	content, err := serviceCall.gate.readBody(result)
 	if err != nil {
 		return response{}, serviceCall.handleExchangeError(ctx, slot, true), true
 	}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -45,7 +45,7 @@
 
 // relayBody forwards a response that is not streamed.
 func (completion *completion) relayBody(slot *node.Slot, response *http.Response) (*refuse.Refusal, bool) {
-	content, err := completion.gate.readBody(response)
+	content, err := completion.gate.readBody(sendResult{response: response})
 	if err != nil {
 		return completion.handleIncomplete(slot)
 	}
--- /dev/null
+++ b/io/gate/surplus.go
@@ -0,0 +1,99 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"regexp"
+	"sync"
+)
+
+const (
+	// maxSurplusBytes bounds the bytes after a response that are looked at. The transport reads no more ahead.
+	maxSurplusBytes = 4 << 10
+	// maxRecordedHeadBytes bounds the heads of a response, beyond which it is not known where its body begins.
+	maxRecordedHeadBytes = 64 << 10
+)
+
+var (
+	statusLine = regexp.MustCompile(`HTTP/\d\.\d \d\d\d`)
+	headEnd    = []byte("\r\n\r\n")
+)
+
+// receipt records where the body of the response on a connection begins, and the last bytes that were read.
+type receipt struct {
+	mutex sync.Mutex
+	// head holds what was read until the body began, and bodyAt is the offset of the body, or 0.
+	head   []byte
+	bodyAt int64
+	total  int64
+	last   []byte
+}
+
+// record records bytes that were read.
+func (receipt *receipt) record(content []byte) {
+	receipt.mutex.Lock()
+	defer receipt.mutex.Unlock()
+	receipt.total += int64(len(content))
+	receipt.last = append(receipt.last, content...)
+	receipt.last = receipt.last[max(0, len(receipt.last)-maxSurplusBytes):]
+	if receipt.bodyAt > 0 || len(receipt.head) > maxRecordedHeadBytes {
+		return
+	}
+	receipt.head = append(receipt.head, content...)
+	for rest := receipt.head; ; {
+		head, next, found := bytes.Cut(rest, headEnd)
+		if !found {
+			return
+		}
+		if rest = next; !bytes.HasPrefix(head, []byte("HTTP/1.1 1")) {
+			receipt.bodyAt, receipt.head = int64(len(receipt.head)-len(rest)), nil
+			return
+		}
+	}
+}
+
+// surplus returns bytes that were read after a body of a length.
+func (receipt *receipt) surplus(length int64) []byte {
+	receipt.mutex.Lock()
+	defer receipt.mutex.Unlock()
+	count := receipt.total - receipt.bodyAt - length
+	if receipt.bodyAt == 0 || count <= 0 {
+		return nil
+	}
+	return bytes.Clone(receipt.last[max(0, len(receipt.last)-int(count)):])
+}
+
+// containsResponse reports whether a body with a length was broken off and filled up with the beginning of another response, the rest
+// of which is surplus. A copy that follows a whole body begins with its status line.
+func containsResponse(body, surplus []byte) bool {
+	surplus = bytes.TrimLeft(surplus, "\r\n")
+	isRest := len(surplus) > 0 && !startsWithStatusLine(surplus)
+	joined := append(bytes.Clone(body), surplus...)
+	for _, found := range statusLine.FindAllIndex(joined, -1) {
+		start := found[0]
+		if start >= len(body) {
+			return false
+		}
+		head, _, isWhole := bytes.Cut(joined[start:], headEnd)
+		if !isWhole && isRest || isWhole && isHead(head, func(length int64) bool { return isRest || length == int64(len(body)) }) {
+			return true
+		}
+	}
+	return false
+}
+
+func startsWithStatusLine(content []byte) bool {
+	found := statusLine.FindIndex(content)
+	return found != nil && found[0] == 0
+}
+
+// isHead reports whether content is the head of a response, and accepts returns true for its length.
+func isHead(content []byte, accepts func(length int64) bool) bool {
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(append(bytes.Clone(content), headEnd...))), nil)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return accepts(response.ContentLength)
+}
