Own interface: the rest of a copy that fills up a body may come later

A connection whose bytes may end with the beginning of a head is read once more before it is closed, for up to 50 ms, and a body with a length waits for that. Other responses do not wait.

Evidence: TestSecondResponseDoesNotFillUpABody/rest_of_the_copy_later failed before (200 instead of 502).

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,8 +35,9 @@
 // freshness and the write could send a request that an outdated configuration allowed.
 type checkedConn struct {
 	net.Conn
-	fresh   func(now time.Time) bool
-	receipt receipt
+	fresh     func(now time.Time) bool
+	receipt   receipt
+	closeOnce sync.Once
 }
 
 // Read implements net.Conn.
@@ -45,6 +47,20 @@
 	return count, err
 }
 
+// Close implements net.Conn. If what was read may end with the beginning of another response, it reads once more.
+func (conn *checkedConn) Close() error {
+	err := net.ErrClosed
+	conn.closeOnce.Do(func() {
+		if conn.receipt.isSuspect() {
+			_ = conn.SetReadDeadline(time.Now().Add(surplusWait))
+			_, _ = conn.Read(make([]byte, maxSurplusBytes))
+		}
+		err = conn.Conn.Close()
+		close(conn.receipt.closed)
+	})
+	return err
+}
+
 // Write implements net.Conn.
 func (conn *checkedConn) Write(content []byte) (int, error) {
 	if !conn.fresh(time.Now()) {
@@ -60,7 +76,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn, fresh: fresh}, nil
+		return &checkedConn{Conn: conn, fresh: fresh, receipt: receipt{closed: make(chan struct{})}}, nil
 	}
 }
 
@@ -149,7 +165,7 @@
 		return nil, err
 	case len(content) > maxResponseBytes:
 		return nil, io.ErrShortBuffer
-	case result.response.ContentLength > 0 && result.receipt != nil && containsResponse(content, result.receipt.surplus(result.response.ContentLength)):
+	case result.response.ContentLength > 0 && result.receipt != nil && result.receipt.fillsUp(content):
 		gate.countSurplus(result.response.StatusCode)
 		return nil, link.ErrSecondResponse
 	}
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -133,6 +136,19 @@
 	deployment := newDeployment(t, 1)
 	long := strings.Repeat("long ", 2000)
 	text := "HTTP/1.1 404 Not Found\r\nA: b\r\n\r\nbody"
+	t.Run("rest of the copy later", func(t *testing.T) {
+		is := is.New(t)
+		cut := strings.TrimSuffix(framed(orderBody), orderBody[4:])
+		deployment.servers[0].setRespond(func(conn net.Conn, _ *http.Request, _ []byte) {
+			for _, part := range []string{cut, framed(orderBody)[:9], framed(orderBody)[9:]} {
+				_, _ = io.WriteString(conn, part)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+		t.Logf("%d %q", got.status, got.body)
+		is.Equal(got.status, http.StatusBadGateway)
+	})
 	for name, test := range map[string]struct {
 		content, body string
 	}{
--- a/io/gate/surplus.go
+++ b/io/gate/surplus.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"sync"
+	"time"
 )
 
 const (
@@ -13,11 +14,15 @@
 	maxSurplusBytes = 4 << 10
 	// maxRecordedHeadBytes bounds the heads of a response, beyond which it is not known where its body begins.
 	maxRecordedHeadBytes = 64 << 10
+	// surplusWait is how long a connection is kept whose body may have been filled up with the beginning of another response.
+	surplusWait = 50 * time.Millisecond
 )
 
 var (
 	statusLine = regexp.MustCompile(`HTTP/\d\.\d \d\d\d`)
 	headEnd    = []byte("\r\n\r\n")
+	// mayBeginHead matches bytes in which a head begins, or may begin if more bytes follow.
+	mayBeginHead = regexp.MustCompile(`HTTP/\d\.\d \d\d\d|H(T(T(P(/(\d(\.(\d( (\d(\d)?)?)?)?)?)?)?)?)?)?$`)
 )
 
 // receipt records where the body of the response on a connection begins, and the last bytes that were read.
@@ -28,6 +33,8 @@
 	bodyAt int64
 	total  int64
 	last   []byte
+	// closed is closed once no more bytes are read.
+	closed chan struct{}
 }
 
 // record records bytes that were read.
@@ -64,6 +71,26 @@
 	return bytes.Clone(receipt.last[max(0, len(receipt.last)-int(count)):])
 }
 
+// isSuspect reports whether more bytes may show that the end of what was read belongs to another response.
+func (receipt *receipt) isSuspect() bool {
+	receipt.mutex.Lock()
+	defer receipt.mutex.Unlock()
+	return receipt.bodyAt > 0 && mayBeginHead.Match(receipt.last[max(0, len(receipt.last)-int(receipt.total-receipt.bodyAt)):])
+}
+
+// fillsUp reports whether a complete body was filled up with the beginning of another response. It waits for what follows the body if
+// that could show it.
+func (receipt *receipt) fillsUp(body []byte) bool {
+	if !mayBeginHead.Match(body) {
+		return false
+	}
+	select {
+	case <-receipt.closed:
+	case <-time.After(2 * surplusWait):
+	}
+	return containsResponse(body, receipt.surplus(int64(len(body))))
+}
+
 // containsResponse reports whether a body with a length was broken off and filled up with the beginning of another response, the rest
 // of which is surplus. A copy that follows a whole body begins with its status line.
 func containsResponse(body, surplus []byte) bool {
