--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -5,14 +5,17 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"lentilproxy/io/block"
+	"lentilproxy/io/link"
 )
 
 const (
@@ -28,11 +31,37 @@
 // connection.
 var errStale = errors.New("this host cannot prove that its configuration is current")
 
+// errNotFinal means that a server has switched protocols, which no request asks for.
+var errNotFinal = errors.New("the backend server sent no final response")
+
 // checkedConn fails writes while the host is stale. Without it, a process that is paused between the check of
 // freshness and the write could send a request that an outdated configuration allowed.
 type checkedConn struct {
 	net.Conn
-	fresh func(now time.Time) bool
+	fresh     func(now time.Time) bool
+	receipt   receipt
+	closeOnce sync.Once
+}
+
+// Read implements net.Conn.
+func (conn *checkedConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	conn.receipt.record(buffer[:count])
+	return count, err
+}
+
+// Close implements net.Conn. If what was read may end with the beginning of another response, it reads once more.
+func (conn *checkedConn) Close() error {
+	err := net.ErrClosed
+	conn.closeOnce.Do(func() {
+		if conn.receipt.isSuspect() {
+			_ = conn.SetReadDeadline(time.Now().Add(surplusWait))
+			_, _ = conn.Read(make([]byte, maxSurplusBytes))
+		}
+		err = conn.Conn.Close()
+		close(conn.receipt.closed)
+	})
+	return err
 }
 
 // Write implements net.Conn.
@@ -50,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn, fresh: fresh}, nil
+		return &checkedConn{Conn: conn, fresh: fresh, receipt: receipt{closed: make(chan struct{})}}, nil
 	}
 }
 
@@ -60,12 +89,20 @@
 	err      error
 	// connected is set if a connection was obtained, so that a byte of the request may have reached the server.
 	connected bool
+	// receipt belongs to the connection, or is nil.
+	receipt *receipt
 }
 
 // send sends the request to a backend server once. The transport never retries it.
 func (call *call) send(ctx context.Context, client *http.Client, url string, body []byte) sendResult {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var receipt atomic.Pointer[receipt]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if conn, isChecked := info.Conn.(*checkedConn); isChecked {
+			receipt.Store(&conn.receipt)
+		}
+	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.request.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return sendResult{err: err}
@@ -79,9 +116,12 @@
 		}
 	}
 	request.Header.Set(HeaderRequestID, call.id)
-	//nolint:bodyclose // The caller closes the body of the response.
 	response, err := client.Do(request)
-	return sendResult{response: response, err: err, connected: connected.Load()}
+	if err == nil && response.StatusCode < http.StatusOK {
+		_ = response.Body.Close()
+		response, err = nil, errNotFinal
+	}
+	return sendResult{response: response, err: err, connected: connected.Load(), receipt: receipt.Load()}
 }
 
 // reachable reports whether a TCP connection to an address can be opened.
@@ -106,10 +146,40 @@
 	})
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(content) > maxResponseBytes {
+// bodyReader returns a reader of the body of a response. A body that has neither a length nor chunks ends with its connection. If
+// another response follows it there, the reader fails: whether the body before it is whole cannot be told.
+func (gate *Gate) bodyReader(response *http.Response) io.Reader {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return response.Body
+	}
+	// Bodies of these types are heads and bodies of HTTP messages.
+	switch mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); mediaType {
+	case "message/http", "application/http":
+		return response.Body
+	}
+	return link.NewUnframedBody(response.Body, func(second *http.Response) bool {
+		gate.countSurplus(second.StatusCode)
+		return true
+	})
+}
+
+// readBody reads the body of a response completely.
+func (gate *Gate) readBody(result sendResult) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(result.response), maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(content) > maxResponseBytes:
 		return nil, io.ErrShortBuffer
+	case result.response.ContentLength > 0 && result.receipt != nil && result.receipt.fillsUp(content):
+		gate.countSurplus(result.response.StatusCode)
+		return nil, link.ErrSecondResponse
 	}
-	return content, err
+	return content, nil
+}
+
+// countSurplus records that a body contained another response.
+func (gate *Gate) countSurplus(status int) {
+	gate.metrics.Tagged(map[string]string{"kind": string(link.SurplusInBody)}).Counter("surplus_from_servers").Inc(1)
+	gate.log.Info("a server sent another response within a body", "status", status)
 }
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/setup"
@@ -21,7 +23,13 @@
 )
 
 func testGate() *Gate {
-	return &Gate{settings: &setup.Settings{Traffic: setup.Traffic{DefaultMaxTokens: 16, MaxBodyBytes: 1 << 20}}}
+	return &Gate{
+		settings: &setup.Settings{Traffic: setup.Traffic{DefaultMaxTokens: 16, MaxBodyBytes: 1 << 20}}, log: logr.Discard(), metrics: tally.NoopScope,
+	}
+}
+
+func testStream() *stream {
+	return &stream{completion: &completion{call: &call{gate: testGate()}}, events: make(chan []byte, maxBufferedEvents)}
 }
 
 func TestRewriteModel(t *testing.T) {
@@ -157,12 +165,12 @@
 			switch {
 			case result.err != nil:
 			case test.stream:
-				stream := &stream{events: make(chan []byte, maxBufferedEvents)}
+				stream := testStream()
 				stream.read(ctx, result.response)
 				is.True(stream.err != nil)
 				is.Equal(len(stream.events), 0)
 			default:
-				_, err = readBody(result.response)
+				_, err = testGate().readBody(result)
 				is.True(err != nil)
 			}
 			if result.err == nil {
@@ -214,7 +222,7 @@
 			result := call.send(t.Context(), client, "http://"+listener.Addr().String()+"/", []byte("{}"))
 			is.NoErr(result.err)
 			defer func() { _ = result.response.Body.Close() }()
-			stream := &stream{events: make(chan []byte, maxBufferedEvents)}
+			stream := testStream()
 			stream.read(t.Context(), result.response)
 			var events []string
 			for event := range stream.events {
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -45,7 +45,7 @@
 
 // relayBody forwards a response that is not streamed.
 func (completion *completion) relayBody(slot *node.Slot, response *http.Response) (*refuse.Refusal, bool) {
-	content, err := readBody(response)
+	content, err := completion.gate.readBody(sendResult{response: response})
 	if err != nil {
 		return completion.handleIncomplete(slot)
 	}
@@ -136,10 +136,10 @@
 	lastEventAt time.Time
 }
 
-// read reads events until the response ends. The end of the response may break off an event, which is then dropped.
+// read reads events until the response ends, or until another response begins. Either may break off an event, which is then dropped.
 func (stream *stream) read(ctx context.Context, response *http.Response) {
 	defer close(stream.events)
-	scanner := bufio.NewScanner(response.Body)
+	scanner := bufio.NewScanner(stream.completion.gate.bodyReader(response))
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
