--- a/io/table/table.go
+++ b/io/table/table.go
@@ -49,8 +49,7 @@
 	client := &Client{
 		base:    "http://" + address,
 		timeout: DefaultTimeout,
-		// A second copy of a response may arrive late, and responses do not identify their requests, so each call has a connection.
-		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
 	}
 	for _, option := range options {
 		option(client)
