--- a/io/link/body.go
+++ b/io/link/body.go
@@ -145,8 +145,8 @@
 	return len(headers) > 0
 }
 
-// lineEnd ends a line of a head. Like the parser, it does not require a carriage return before it.
-var lineEnd = []byte("\n")
+// lineEnd ends a line of a head. The parser also accepts a line feed alone, with which bodies that contain heads end their lines.
+var lineEnd = []byte("\r\n")
 
 // headLength returns the length of the head at the beginning of content, or 0 if its end has not arrived. possible is false if the
 // lines cannot be those of a head.
@@ -157,9 +157,11 @@
 		switch {
 		case isFirst && len(line) > maxStatusLineBytes, len(content)-len(rest) > maxSecondHeadBytes:
 			return 0, false
+		case bytes.Contains(line, lineEnd[1:]):
+			return 0, false
 		case !found:
 			return 0, len(content) <= maxSecondHeadBytes
-		case !isFirst && len(bytes.TrimRight(line, "\r")) == 0:
+		case !isFirst && len(line) == 0:
 			return len(content) - len(next), true
 		case !isFirst && !isHeaderLine(line):
 			return 0, false
