Own interface: 101 of a server is no final response

What callers could see: status 101 for an order or a request that may be repeated, after which their connection counts as switched, so that the next response on it is no response to them.

Cause: the status of a service was passed on whatever it was, and net/http returns 101, and statuses below 100, like final responses. They count as responses that broke off now.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -31,6 +31,9 @@
 // connection.
 var errStale = errors.New("this host cannot prove that its configuration is current")
 
+// errNotFinal means that a server has switched protocols, which no request asks for.
+var errNotFinal = errors.New("the backend server sent no final response")
+
 // checkedConn fails writes while the host is stale. Without it, a process that is paused between the check of
 // freshness and the write could send a request that an outdated configuration allowed.
 type checkedConn struct {
@@ -115,6 +118,10 @@
 	request.Header.Set(HeaderRequestID, call.id)
 	//nolint:bodyclose // The caller closes the body of the response.
 	response, err := client.Do(request)
+	if err == nil && response.StatusCode < http.StatusOK {
+		_ = response.Body.Close()
+		response, err = nil, errNotFinal
+	}
 	return sendResult{response: response, err: err, connected: connected.Load(), receipt: receipt.Load()}
 }
 
