Own interface: an informational response does not fill up a body either

Evidence: two more forms of TestSecondResponseDoesNotFillUpABody, which failed before (200 instead of 502).

--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -163,6 +163,8 @@
 		"cut within the body":                 {strings.TrimSuffix(framed(orderBody), orderBody[4:]) + framed(orderBody), ""},
 		"cut at the last byte":                {strings.TrimSuffix(framed(orderBody), "}") + framed(orderBody), ""},
 		"cut, then an error":                  {strings.TrimSuffix(framed(orderBody), orderBody[4:]) + "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", ""},
+		"cut, then an informational response": {"HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\nHTTP/1.1 103 x\r\nLink: a\r\n\r\n" + framed(orderBody), ""},
+		"cut, then a longer one":              {"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\nHTTP/1.1 103 x\r\nLink: a\r\n\r\n" + framed(orderBody), ""},
 		"long body, cut":                      {strings.TrimSuffix(framed(long), long[4000:]) + framed(long), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/gate/surplus.go
+++ b/io/gate/surplus.go
@@ -94,8 +94,8 @@
 // containsResponse reports whether a body with a length was broken off and filled up with the beginning of another response, the rest
 // of which is surplus. A copy that follows a whole body begins with its status line.
 func containsResponse(body, surplus []byte) bool {
-	surplus = bytes.TrimLeft(surplus, "\r\n")
-	isRest := len(surplus) > 0 && !startsWithStatusLine(surplus)
+	rest := bytes.TrimLeft(surplus, "\r\n")
+	isRest := len(rest) > 0 && !startsWithStatusLine(rest)
 	joined := append(bytes.Clone(body), surplus...)
 	for _, found := range statusLine.FindAllIndex(joined, -1) {
 		start := found[0]
@@ -103,7 +103,12 @@
 			return false
 		}
 		head, _, isWhole := bytes.Cut(joined[start:], headEnd)
-		if !isWhole && isRest || isWhole && isHead(head, func(length int64) bool { return isRest || length == int64(len(body)) }) {
+		end := start + len(head) + len(headEnd)
+		if !isWhole && isRest || isWhole && isHead(head, func(response *http.Response) bool {
+			// An informational response is followed by a status line, as a whole body is.
+			isInformational := response.StatusCode < http.StatusOK && end == len(body) && len(rest) > 0
+			return isRest || end > len(body) || isInformational || response.ContentLength == int64(len(body))
+		}) {
 			return true
 		}
 	}
@@ -115,12 +120,12 @@
 	return found != nil && found[0] == 0
 }
 
-// isHead reports whether content is the head of a response, and accepts returns true for its length.
-func isHead(content []byte, accepts func(length int64) bool) bool {
+// isHead reports whether content is the head of a response that is accepted.
+func isHead(content []byte, accepts func(response *http.Response) bool) bool {
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(append(bytes.Clone(content), headEnd...))), nil)
 	if err != nil {
 		return false
 	}
 	_ = response.Body.Close()
-	return accepts(response.ContentLength)
+	return accepts(response)
 }
