--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -116,7 +116,6 @@
 		}
 	}
 	request.Header.Set(HeaderRequestID, call.id)
-	//nolint:bodyclose // The caller closes the body of the response.
 	response, err := client.Do(request)
 	if err == nil && response.StatusCode < http.StatusOK {
 		_ = response.Body.Close()
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -206,8 +206,12 @@
 }
 
 // post sends a request. An empty key stands for none.
-func (deployment *deployment) post(path, key, body string) answer {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, deployment.url+path, strings.NewReader(body))
+func (deployment *deployment) post(path, key string) answer {
+	return deployment.postWith(context.Background(), path, key, "{}")
+}
+
+func (deployment *deployment) postWith(ctx context.Context, path, key, body string) answer {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, deployment.url+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -225,7 +229,11 @@
 
 // complete sends a request for a completion.
 func (deployment *deployment) complete(prompt string, stream bool) answer {
-	return deployment.post("/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":%t,"max_tokens":8}`, testModel, prompt, stream))
+	return deployment.completeWith(context.Background(), prompt, stream)
+}
+
+func (deployment *deployment) completeWith(ctx context.Context, prompt string, stream bool) answer {
+	return deployment.postWith(ctx, "/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":%t,"max_tokens":8}`, testModel, prompt, stream))
 }
 
 // event returns an event of an engine's stream.
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -44,13 +44,13 @@
 				is := is.New(t)
 				server.respondWith(unframedHead + orderBody + second)
 				path, key := "/services/"+route+"/"+uuid.NewString(), uuid.NewString()
-				got := deployment.post(path, key, "{}")
+				got := deployment.post(path, key)
 				t.Logf("%d %q", got.status, got.body)
 				is.Equal(got.status, want)
 				is.True(!strings.Contains(got.body, "HTTP/1."))
 				if route == "orders" {
 					// The order ran, and nothing else is stored for it.
-					again := deployment.post(path, key, "{}")
+					again := deployment.post(path, key)
 					is.Equal(again.status, http.StatusConflict)
 				}
 			})
@@ -60,7 +60,7 @@
 		is := is.New(t)
 		body := orderBody + unframedHead
 		server.respondWith("HTTP/1.1 200 OK\r\nContent-Type: message/http; version=1.1\r\n\r\n" + body)
-		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
 		is.Equal(got.status, http.StatusOK)
 		is.Equal(got.body, body)
 	})
@@ -73,7 +73,7 @@
 		t.Run("sound, "+name, func(t *testing.T) {
 			is := is.New(t)
 			server.respondWith(unframedHead + body)
-			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
 			is.Equal(got.status, http.StatusOK)
 			is.Equal(got.body, body)
 		})
@@ -145,7 +145,7 @@
 				time.Sleep(5 * time.Millisecond)
 			}
 		})
-		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
 		t.Logf("%d %q", got.status, got.body)
 		is.Equal(got.status, http.StatusBadGateway)
 	})
@@ -170,7 +170,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			deployment.servers[0].respondWith(test.content)
-			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString(), "{}")
+			got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
 			t.Logf("%d %.200q", got.status, got.body)
 			if test.body == "" {
 				is.Equal(got.status, http.StatusBadGateway)
@@ -192,12 +192,12 @@
 				is := is.New(t)
 				deployment.servers[0].respondWith("HTTP/1.1 " + status + " x\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				path, key := "/services/"+route+"/"+uuid.NewString(), uuid.NewString()
-				got := deployment.post(path, key, "{}")
+				got := deployment.post(path, key)
 				t.Logf("%d %q %v", got.status, got.body, got.err)
 				is.NoErr(got.err)
 				is.Equal(got.status, http.StatusBadGateway)
 				if route == "orders" {
-					is.Equal(deployment.post(path, key, "{}").status, http.StatusConflict)
+					is.Equal(deployment.post(path, key).status, http.StatusConflict)
 				}
 			})
 		}
