Own interface: events of a copy do not fill up a stream

What callers could see: events of a completion twice, before their response was visibly broken off.

Cause: a stream with a length, or a chunk with several events, was broken off between events, and a copy followed. The head of the copy was skipped like an event without data, up to the length of the stream or chunk. The first response counts as broken off at that head now. Comments, fields and data that contain a status line pass.

Evidence: TestSecondResponseDoesNotFillUpAStream failed before for a length and for a chunk: five events behind the two of the first response.

--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -191,13 +191,15 @@
 		// reset ends the connection with a reset.
 		reset bool
 	}{
-		"complete stream":    {"data: 1\n\ndata: [DONE]\n\n", []string{"1", "[DONE]"}, false},
-		"complete with CRLF": {"data: 1\r\n\r\ndata: 2\r\n\r\n", []string{"1", "2"}, false},
-		"fields before data": {"id: 1\nevent: a\ndata: 1\n\n", []string{"1"}, false},
-		"inside a field":     {"data: 1\n\ndata: {\"a\"", []string{"1"}, false},
-		"after a line":       {"data: 1\n\ndata: [DONE]\n", []string{"1"}, false},
-		"before an event":    {"", nil, false},
-		"reset after a line": {"data: 1\n\ndata: 2\n", []string{"1"}, true},
+		"complete stream":          {"data: 1\n\ndata: [DONE]\n\n", []string{"1", "[DONE]"}, false},
+		"complete with CRLF":       {"data: 1\r\n\r\ndata: 2\r\n\r\n", []string{"1", "2"}, false},
+		"status line in a comment": {": HTTP/1.1 200\n\ndata: 1\n\n", []string{"1"}, false},
+		"status line as data":      {"data: HTTP/1.1 200\n\n", []string{"HTTP/1.1 200"}, false},
+		"fields before data":       {"id: 1\nevent: a\ndata: 1\n\n", []string{"1"}, false},
+		"inside a field":           {"data: 1\n\ndata: {\"a\"", []string{"1"}, false},
+		"after a line":             {"data: 1\n\ndata: [DONE]\n", []string{"1"}, false},
+		"before an event":          {"", nil, false},
+		"reset after a line":       {"data: 1\n\ndata: 2\n", []string{"1"}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -203,3 +203,26 @@
 		}
 	}
 }
+
+// Guards against events of a copy that fill up a stream with a length or a chunk. The stream breaks off behind them, but its caller
+// would have got events twice.
+func TestSecondResponseDoesNotFillUpAStream(t *testing.T) {
+	deployment := newDeployment(t, 1)
+	const whole, received = 9, 2
+	for name, encode := range map[string]func(stream string) string{"length": framed, "chunk": func(stream string) string { return chunked(stream) }} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			deployment.servers[0].setRespond(func(conn net.Conn, _ *http.Request, body []byte) {
+				withModel := func(text string) string { return strings.ReplaceAll(text, "MODEL", requestedModel(body)) }
+				response := encode(withModel(events(whole) + endEvent))
+				cut, _, _ := strings.Cut(response, withModel(event(received)))
+				_, _ = io.WriteString(conn, cut+response)
+			})
+			got := deployment.complete(uuid.NewString(), true)
+			t.Logf("%d %v %q", got.status, got.err, got.body)
+			is.Equal(got.status, http.StatusOK)
+			is.True(got.err != nil)
+			is.True(strings.HasPrefix(got.body, publicEvents(received)+"event: error\n"))
+		})
+	}
+}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -11,6 +11,7 @@
 
 	"lentilproxy/core/place"
 	"lentilproxy/core/refuse"
+	"lentilproxy/io/link"
 	"lentilproxy/io/node"
 )
 
@@ -143,6 +144,11 @@
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
+		if beginsResponse(scanner.Bytes()) {
+			stream.completion.gate.countSurplus(response.StatusCode)
+			stream.err = link.ErrSecondResponse
+			return
+		}
 		for line := range bytes.Lines(scanner.Bytes()) {
 			content, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataPrefix)
 			if !found {
@@ -159,6 +165,16 @@
 	stream.err = scanner.Err()
 }
 
+// beginsResponse reports whether a response begins on a line of an event that is no field and no comment, up to there.
+func beginsResponse(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if found := statusLine.FindIndex(line); found != nil && !bytes.Contains(line[:found[0]], []byte(":")) {
+			return true
+		}
+	}
+	return false
+}
+
 // splitEvents is a bufio.SplitFunc that returns events, which end with an empty line. Bytes after the last such line are no
 // event.
 func splitEvents(content []byte, atEOF bool) (advance int, token []byte, err error) {
