--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -187,19 +187,21 @@
 func TestStatusesThatAreNotFinal(t *testing.T) {
 	deployment := newDeployment(t, 1)
 	for _, status := range []string{"101", "099", "000"} {
-		for _, route := range []string{"orders", "stock"} {
-			t.Run(status+", "+route, func(t *testing.T) {
-				is := is.New(t)
-				deployment.servers[0].respondWith("HTTP/1.1 " + status + " x\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				path, key := "/services/"+route+"/"+uuid.NewString(), uuid.NewString()
-				got := deployment.post(path, key)
-				t.Logf("%d %q %v", got.status, got.body, got.err)
-				is.NoErr(got.err)
-				is.Equal(got.status, http.StatusBadGateway)
-				if route == "orders" {
-					is.Equal(deployment.post(path, key).status, http.StatusConflict)
-				}
-			})
+		for _, rest := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+			for _, route := range []string{"orders", "stock"} {
+				t.Run(fmt.Sprintf("%s, %s, %d bytes", status, route, len(rest)), func(t *testing.T) {
+					is := is.New(t)
+					deployment.servers[0].respondWith("HTTP/1.1 " + status + " x\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n" + rest)
+					path, key := "/services/"+route+"/"+uuid.NewString(), uuid.NewString()
+					got := deployment.post(path, key)
+					t.Logf("%d %q %v", got.status, got.body, got.err)
+					is.NoErr(got.err)
+					is.Equal(got.status, http.StatusBadGateway)
+					if route == "orders" {
+						is.Equal(deployment.post(path, key).status, http.StatusConflict)
+					}
+				})
+			}
 		}
 	}
 }
