Soak: servers that respond twice, cut responses off and reject requests that resume streams

KindCopies makes all servers stutter for up to 10 s, once in each plan, while hosts are killed, paused and stopped: copies of responses at once, late, in parts and cut off; bodies with a length, in chunks and with neither; streams that break off within and between events; rejections and errors, most of them for requests that resume a stream.

Checks: bodies name their requests, and 'whole answers' compares them with what the request's servers sent, also in responses that broke off. It finds bytes that are not HTTP (stub.ErrMalformed, told apart from connections that end) and bytes before a request. Left out is only an unframed stream that its server ended between two events. Records of other promises in TestChecksFindBrokenPromises got bodies that are whole, since the check looks at more of them.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -56,8 +58,10 @@
 	endedAt           time.Time
 	status            int
 	signed            bool
-	body              string
-	err               error
+	// answered is the identifier of the request that the response names, or empty.
+	answered string
+	body     string
+	err      error
 }
 
 func (attempt *attempt) served() bool { return attempt.err == nil && attempt.status == http.StatusOK }
@@ -108,7 +112,7 @@
 }
 
 // kindsNotDelayingRows are the kinds of disturbance that do not delay a host's reads of the store's rows.
-var kindsNotDelayingRows = []Kind{KindPeersCut, KindOneWay, KindReset, KindDelay, KindErrors, KindCrash, KindHistory, KindReload}
+var kindsNotDelayingRows = []Kind{KindPeersCut, KindOneWay, KindReset, KindDelay, KindErrors, KindCrash, KindHistory, KindReload, KindCopies}
 
 // undisturbed reports whether no disturbance affected a host from settleTime before a period until its end. Kinds in
 // except are ignored.
@@ -183,19 +187,54 @@
 	}
 }
 
+// checkComplete finds responses with bytes that are not HTTP or belong to another request, joined responses, streams with missing
+// or repeated events, and responses that look complete and are not.
 func (record *record) checkComplete(report func(format string, args ...any)) {
 	for _, attempt := range record.attempts {
-		if !attempt.served() {
+		if attempt.status == 0 && attempt.err == nil {
 			continue
 		}
-		complete := strings.HasPrefix(attempt.body, "answer of ")
-		if attempt.adapter != "" {
-			complete = attempt.body == stub.Stream(streamEvents)
+		whole := attempt.answered == "" || attempt.answered == attempt.id
+		switch {
+		case errors.Is(attempt.err, stub.ErrMalformed):
+			whole = false
+		case attempt.status == http.StatusOK:
+			whole = whole && attempt.signed && record.expectedBody(attempt)
+		case attempt.status != 0:
+			// Servers send no body with errors, and hosts send JSON.
+			whole = whole && (attempt.body == "" || attempt.err != nil || json.Valid([]byte(attempt.body)))
+		}
+		if !whole {
+			report("signed %t, response to %q, body %q: %s", attempt.signed, attempt.answered, attempt.body, attempt)
+		}
+	}
+}
+
+// expectedBody reports whether a body is what a server sent in response to the request, or its beginning if the response broke off.
+func (record *record) expectedBody(attempt *attempt) bool {
+	stream := stub.StreamFor(attempt.id, streamEvents)
+	if attempt.adapter != "" && attempt.err != nil {
+		return strings.HasPrefix(stream, attempt.body)
+	}
+	if attempt.adapter != "" && attempt.body == stream {
+		return true
+	}
+	for _, arrival := range record.arrivals[attempt.id] {
+		if !arrival.Ran {
+			continue
 		}
-		if !complete || !attempt.signed {
-			report("signed %t, body %q: %s", attempt.signed, attempt.body, attempt)
+		answer := stub.Answer(arrival.server, attempt.id)
+		switch {
+		case attempt.adapter != "":
+			// A host cannot know that a stream without framing goes on if it ended between two events.
+			if arrival.EndedEarly && strings.HasPrefix(stream, attempt.body) && (attempt.body == "" || strings.HasSuffix(attempt.body, "\n\n")) {
+				return true
+			}
+		case attempt.body == answer, attempt.err != nil && strings.HasPrefix(answer, attempt.body):
+			return true
 		}
 	}
+	return false
 }
 
 func (record *record) checkKeys(report func(format string, args ...any)) {
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -31,10 +31,11 @@
 	KindVersion     Kind = "version"      // a new version of an adapter is announced
 	KindManyConfigs Kind = "many_configs" // several configurations are written in quick succession
 	KindCrashPart   Kind = "crash_part"   // requests that share a prompt part crash the engines that run them
+	KindCopies      Kind = "copies"       // backend servers send responses twice, cut them off, and reject requests
 )
 
 // kinds lists the kinds that a plan draws. It draws indexes, so their order is part of what a seed produces. Each plan
-// contains KindCrashPart once, so that it is not drawn.
+// contains KindCrashPart and KindCopies once, so that they are not drawn.
 var kinds = []Kind{
 	KindStop, KindKill, KindPause, KindReload, KindStoreCut, KindStoreAway, KindStoreSlow, KindStoreLost, KindHistory, KindPeersCut, KindOneWay,
 	KindReset, KindDelay, KindCrash, KindDrain, KindErrors, KindKeyTaken, KindVersion, KindManyConfigs,
@@ -62,6 +63,10 @@
 	maxDuration = 4 * time.Second
 	// maxCrashPartDuration is the duration of KindCrashPart in runs that are long enough.
 	maxCrashPartDuration = 14 * time.Second
+	// maxCopiesDuration is the duration of KindCopies in runs that are long enough, and copiesDisturbances the number of
+	// disturbances of processes while it lasts, besides those that are drawn independently.
+	maxCopiesDuration  = 10 * time.Second
+	copiesDisturbances = 4
 )
 
 // Plan returns the disturbances of a run of the given length, as determined by the seed. Disturbances may overlap,
@@ -81,7 +86,7 @@
 			events = append(events, event)
 		}
 	}
-	events = append(events, crashPartEvent(seed, length))
+	events = append(append(events, crashPartEvent(seed, length)), copiesEvents(seed, length)...)
 	events = slices.DeleteFunc(events, func(event Event) bool { return event.At+event.Duration > length-2*quietPeriod })
 	slices.SortStableFunc(events, func(left, right Event) int { return int(left.At - right.At) })
 	return events
@@ -97,3 +102,21 @@
 		At: quietPeriod + time.Duration(random.Int64N(max(1, int64(latest)))), Duration: duration, Kind: KindCrashPart, Target: random.IntN(1 << 16),
 	}
 }
+
+// copiesEvents returns the event in which backend servers send responses twice, and events in which hosts are killed, paused and
+// stopped while it lasts.
+func copiesEvents(seed uint64, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(^seed, seed))
+	duration := min(maxCopiesDuration, length-3*quietPeriod-time.Second)
+	latest := length - 3*quietPeriod - duration
+	events := []Event{{
+		At: quietPeriod + time.Duration(random.Int64N(max(1, int64(latest)))), Duration: duration, Kind: KindCopies, Target: random.IntN(1 << 16),
+	}}
+	for range copiesDisturbances {
+		events = append(events, Event{
+			At: events[0].At + time.Duration(random.Int64N(max(1, int64(duration)))), Duration: time.Duration(random.Int64N(int64(maxDuration) / 2)),
+			Kind: []Kind{KindKill, KindPause, KindStop}[random.IntN(3)], Target: random.IntN(1 << 16),
+		})
+	}
+	return events
+}
--- a/io/soak/platform.go
+++ b/io/soak/platform.go
@@ -74,18 +74,20 @@
 	// the servers register.
 	keys     atomic.Pointer[callerKeys]
 	keyCount int
+	// stutter is shared by all servers.
+	stutter *stub.Stutter
 	// onCrash is called before a request crashes an incarnation of a backend server.
 	onCrash func(backend *backend, incarnation int)
 }
 
-func newPlatform(engines, plain int, onCrash func(backend *backend, incarnation int)) (*platform, error) {
+func newPlatform(seed uint64, engines, plain int, onCrash func(backend *backend, incarnation int)) (*platform, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	platform := &platform{
 		store: stub.NewStore(), listener: listener, stop: make(chan struct{}), done: make(chan struct{}), config: stub.NewConfig(),
-		onCrash: onCrash, adapterVersions: map[string]int64{}, declared: map[string]time.Time{}, withdrawn: map[string]time.Time{}, drained: map[string]time.Time{},
+		onCrash: onCrash, stutter: stub.NewStutter(seed), adapterVersions: map[string]int64{}, declared: map[string]time.Time{}, withdrawn: map[string]time.Time{}, drained: map[string]time.Time{},
 	}
 	platform.server = &http.Server{Handler: platform.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = platform.server.Serve(listener) }()
@@ -119,7 +121,7 @@
 // replace starts a new incarnation of a backend server.
 func (platform *platform) replace(backend *backend) error {
 	incarnation := backend.incarnation + 1
-	options := []stub.ServerOption{stub.WithEvents(streamEvents, eventGap)}
+	options := []stub.ServerOption{stub.WithEvents(streamEvents, eventGap), stub.WithBodiesNamingRequests(), stub.WithStutter(platform.stutter)}
 	if backend.service == stub.ServiceChat {
 		options = append(options, stub.WithModel(stub.Model, adapterCapacity), stub.WithPromptTime(promptTime),
 			stub.WithOnCrash(func() { platform.onCrash(backend, incarnation) }))
@@ -296,6 +298,9 @@
 		runner.platform.announce(adapterName(event.Target % adapterCount))
 	case KindCrashPart:
 		runner.sendCrashingRequests(event)
+	case KindCopies:
+		stutter := runner.platform.stutter
+		runner.during(event, allHosts, func() { stutter.SetActive(true) }, func() { stutter.SetActive(false) })
 	case KindManyConfigs:
 		for range configBurst {
 			runner.platform.newKey()
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -80,7 +80,7 @@
 // or that the logs of a failed run could not be written.
 func Run(options Options) (Report, error) {
 	runner := &runner{options: options}
-	platform, err := newPlatform(options.Engines, options.PlainServers, runner.recordCrash)
+	platform, err := newPlatform(options.Seed, options.Engines, options.PlainServers, runner.recordCrash)
 	if err != nil {
 		return Report{}, err
 	}
@@ -224,11 +224,17 @@
 
 // send sends a request, records its response and reports whether the connection can be used again.
 func (runner *runner) send(caller *stub.Caller, attempt *attempt) bool {
+	surplus := caller.FindSurplus()
 	attempt.sentAt = time.Now()
 	// Setting a deadline does not fail on an open connection.
 	_ = caller.SetDeadline(attempt.sentAt.Add(requestTimeout))
-	response, err := caller.Send(attempt.id, attempt.path, attempt.key, attempt.adapter, "content "+attempt.id, attempt.parts...)
+	var response stub.Response
+	err := surplus
+	if err == nil {
+		response, err = caller.Send(attempt.id, attempt.path, attempt.key, attempt.adapter, "content "+attempt.id, attempt.parts...)
+	}
 	attempt.endedAt, attempt.status, attempt.signed, attempt.body, attempt.err = time.Now(), response.Status, response.Signed, response.Body, err
+	attempt.answered = response.Answered
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
 	runner.record.attempts = append(runner.record.attempts, attempt)
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -95,9 +96,9 @@
 		return &record{
 			endedAt: at(20), withdrawn: map[string]time.Time{"old": at(5)}, drained: map[string]time.Time{"d": at(5)},
 			attempts: []*attempt{
-				{id: "a", host: "h1", runID: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(1), endedAt: at(1.1), status: http.StatusOK, signed: true, body: "answer of s"},
+				{id: "a", host: "h1", runID: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(1), endedAt: at(1.1), status: http.StatusOK, signed: true, body: "answer of s to a"},
 				{id: "b", host: "h1", runID: 1, path: stub.OrderPath, key: "old", sentAt: at(8), endedAt: at(8.1), status: http.StatusUnauthorized},
-				{id: "c", host: "h2", runID: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(18), endedAt: at(18.1), status: http.StatusOK, signed: true, body: "answer of s"},
+				{id: "c", host: "h2", runID: 1, path: stub.OrderPath, key: stub.Key, sentAt: at(18), endedAt: at(18.1), status: http.StatusOK, signed: true, body: "answer of s to c"},
 			},
 			arrivals: map[string][]arrival{"a": {ran("a", 1)}, "c": {ran("c", 18)}},
 			orders:   [][]stub.Order{{{Holder: "h1", Token: 3, At: at(1)}, {Holder: "h2", Token: 4, At: at(5)}}},
@@ -107,25 +108,63 @@
 		"at most once":  func(record *record) { record.arrivals["a"] = append(record.arrivals["a"], ran("a", 2)) },
 		"true refusals": func(record *record) { record.attempts[0].status, record.attempts[0].signed = 503, false },
 		"whole answers": func(record *record) { record.attempts[0].signed = false },
+		"whole answers/bytes that are not HTTP": func(record *record) {
+			record.attempts[0].err = fmt.Errorf("%w: invalid byte in chunk length", stub.ErrMalformed)
+		},
+		"whole answers/bytes before a request": func(record *record) {
+			record.attempts[0].status, record.attempts[0].body, record.attempts[0].err = 0, "", stub.ErrMalformed
+		},
+		"whole answers/the answer to another request": func(record *record) { record.attempts[0].body = "answer of s to c" },
+		"whole answers/the answer of another server":  func(record *record) { record.attempts[0].body = "answer of d to a" },
+		"whole answers/the headers of another response": func(record *record) {
+			record.attempts[0].answered = "c"
+		},
+		"whole answers/an answer without a run": func(record *record) { record.arrivals["a"][0].Ran = false },
+		"whole answers/joined answers":          func(record *record) { record.attempts[0].body += record.attempts[0].body },
+		"whole answers/a joined error": func(record *record) {
+			record.attempts[0].status, record.attempts[0].body = 500, "{}HTTP/1.1 200 OK\r\n"
+		},
+		"whole answers/a missing event": func(record *record) { breakStream(record, []int{1, 2, 3, 5, 6}, nil, false) },
+		"whole answers/a doubled event": func(record *record) { breakStream(record, []int{1, 2, 3, 3, 4, 5, 6}, nil, false) },
+		"whole answers/a missing event before the stream breaks off": func(record *record) {
+			breakStream(record, []int{1, 3}, io.ErrUnexpectedEOF, false)
+		},
+		"whole answers/too few events":                      func(record *record) { breakStream(record, []int{1, 2, 3}, nil, false) },
+		"whole answers/a doubled event of an unframed body": func(record *record) { breakStream(record, []int{1, 1}, nil, true) },
+		"whole answers/an unframed body cut within an event": func(record *record) {
+			breakStream(record, []int{1, 2}, nil, true)
+			record.attempts[0].body = strings.TrimSuffix(record.attempts[0].body, "\n")
+		},
+		"/an unframed body cut between events": func(record *record) { breakStream(record, []int{1, 2}, nil, true) },
+		"/a stream that breaks off": func(record *record) {
+			breakStream(record, []int{1, 2}, io.ErrUnexpectedEOF, false)
+			record.disturbances = append(record.disturbances, &disturbance{kind: KindReset, from: at(1), until: at(2)})
+		},
 		"keys and workspaces": func(record *record) {
 			record.arrivals["a"][0].Workspace = "other"
 		},
 		"configuration in force": func(record *record) {
-			record.attempts[1].status, record.attempts[1].signed, record.attempts[1].body = 200, true, "answer of s"
+			record.attempts[1].status, record.attempts[1].signed, record.attempts[1].body = 200, true, "answer of s to b"
+			record.arrivals["b"] = []arrival{ran("b", 8)}
 		},
 		"configuration never back": func(record *record) {
 			late := *record.attempts[1]
-			late.id, late.sentAt, late.endedAt, late.status, late.signed, late.body = "e", at(12), at(12.1), 200, true, "answer of s"
+			late.id, late.sentAt, late.endedAt, late.status, late.signed, late.body = "e", at(12), at(12.1), 200, true, "answer of s to e"
+			record.arrivals["e"] = []arrival{ran("e", 12)}
 			record.attempts = append(record.attempts, &late)
 			record.disturbances = append(record.disturbances, &disturbance{kind: KindStoreAway, from: at(5), until: at(13)})
 		},
-		"limits":   func(record *record) { record.arrivals["a"][0].Tokens = 1e6 },
-		"draining": func(record *record) { record.arrivals["c"][0].server = "d" },
+		"limits": func(record *record) { record.arrivals["a"][0].Tokens = 1e6 },
+		"draining": func(record *record) {
+			record.arrivals["c"][0].server, record.attempts[2].body = "d", "answer of d to c"
+		},
 		"one giver of orders": func(record *record) {
 			record.orders[0][1].At = at(2)
 		},
 		"planned stops": func(record *record) { record.attempts[0].err = errors.New("cut") },
-		"recovery":      func(record *record) { record.attempts[2].status, record.attempts[2].signed = 502, false },
+		"recovery": func(record *record) {
+			record.attempts[2].status, record.attempts[2].signed, record.attempts[2].body = 502, false, ""
+		},
 		"crashing requests": func(record *record) {
 			for number := range crashesToStop + maxCrashingRequests + 1 {
 				id, second := fmt.Sprint("crash", number), float64(number)
@@ -138,7 +177,7 @@
 		},
 		"sound requests": func(record *record) {
 			record.attempts = append(record.attempts, &attempt{
-				id: "f", host: "h1", path: stub.ChatPath, key: stub.Key, sentAt: at(2), endedAt: at(2), status: http.StatusServiceUnavailable, body: crashCode,
+				id: "f", host: "h1", path: stub.ChatPath, key: stub.Key, sentAt: at(2), endedAt: at(2), status: http.StatusServiceUnavailable, body: "{" + crashCode + "}",
 			})
 		},
 		"": func(*record) {},
@@ -148,6 +187,7 @@
 			record := validRecord()
 			breakPromise(record)
 			violations := record.check()
+			promise, _, _ := strings.Cut(promise, "/")
 			if promise == "" {
 				is.Equal(len(violations), 0)
 				return
@@ -157,3 +197,14 @@
 		})
 	}
 }
+
+// breakStream makes the first request of a record one whose response is a stream of the given events.
+func breakStream(record *record, events []int, err error, endedEarly bool) {
+	pieces := strings.SplitAfter(stub.StreamFor("a", streamEvents), "\n\n")
+	attempt := record.attempts[0]
+	attempt.path, attempt.adapter, attempt.body, attempt.err = stub.ChatPath, "a1", "", err
+	for _, event := range events {
+		attempt.body += pieces[event-1]
+	}
+	record.arrivals["a"][0].EndedEarly = endedEarly
+}
