Tests of processes: each host has a loopback address of its own

What was seen: TestServerThatSaysThatItLeavesGetsNoRequests/engines failed once, host-1 could not listen on 127.0.0.10:38135 ('address already in use').

Cause: the harness chose the port for peers by listening and closing again, and the first hosts of all fleets that run at once share 127.0.0.10. Hosts connect to their peers from that address, so that an outgoing connection of another fleet's host, or a proxy's listener on it, can take the port before the daemon listens, or while it is restarted. The failure itself was not reproduced.

Hosts, and plain servers that restart, now have addresses on which nothing else listens or connects out, as those of the soak do; the proxies listen on 127.0.0.1.

--- a/io/proc/harness_test.go
+++ b/io/proc/harness_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -305,10 +306,10 @@
 func (fleet *fleet) newHost(name string) *host {
 	fleet.t.Helper()
 	host := &host{name: name, settingsPath: filepath.Join(fleet.t.TempDir(), name+".ini")}
-	host.ip = fmt.Sprintf("127.0.0.%d", 10+len(fleet.hosts))
-	host.tableProxy = newFaultProxy(fleet.t, host.ip+":0", fleet.table)
+	host.ip = newIP()
+	host.tableProxy = newFaultProxy(fleet.t, "127.0.0.1:0", fleet.table)
 	peers := freeAddress(fleet.t, host.ip)
-	host.peerProxy = newFaultProxy(fleet.t, host.ip+":0", peers)
+	host.peerProxy = newFaultProxy(fleet.t, "127.0.0.1:0", peers)
 	content := fmt.Sprintf("[host]\nname = %s\ndata_centre = dc-1\n\n[listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\n"+
 		"peers = %s\nadvertise_peers = %s\n\n[platform]\ntable = %s\n\n[weights]\nloads_per_second = 20\nparallel = 4\n\n"+
 		"[objective \"availability\"]\nindicator = availability\ntarget = 0.99\n", name, peers, host.peerProxy.address(), host.tableProxy.address())
@@ -318,6 +319,16 @@
 	return host
 }
 
+// ipCount is the number of addresses that newIP has returned.
+var ipCount atomic.Int64
+
+// newIP returns a loopback address that no other test or process uses. Ports chosen on it stay free until they are used, also while a
+// process is restarted: outgoing connections of others do not take them as their local ports.
+func newIP() string {
+	count := int(ipCount.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+(os.Getpid()/250+count/250)%250, os.Getpid()%250, 1+count%250)
+}
+
 // freeAddress returns an unused TCP address on an IP address.
 func freeAddress(t testing.TB, ip string) string {
 	t.Helper()
--- a/io/proc/repeat_test.go
+++ b/io/proc/repeat_test.go
@@ -52,7 +52,7 @@
 
 func newPlainServer(t *testing.T, point crashPoint, crashes *atomic.Int64) *plainServer {
 	t.Helper()
-	server := &plainServer{t: t, address: freeAddress(t, "127.0.0.1"), point: point, crashes: crashes}
+	server := &plainServer{t: t, address: freeAddress(t, newIP()), point: point, crashes: crashes}
 	server.start()
 	t.Cleanup(server.stop)
 	return server
