--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -275,12 +275,15 @@
 
 // NewHTTPClient returns an HTTP client for the store or for orders that keeps up to the given number of idle connections to
 // each address, or that takes one from dial for each call if it is 0. The connections have to detect that their other end no longer
-// responds.
+// responds. Redirects are returned, not followed.
 func NewHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		Proxy: nil, DialContext: dial, DisableCompression: true,
-		MaxIdleConnsPerHost: connections, DisableKeepAlives: connections == 0, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	return &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			Proxy: nil, DialContext: dial, DisableCompression: true,
+			MaxIdleConnsPerHost: connections, DisableKeepAlives: connections == 0, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
+		},
+	}
 }
 
 const (
