A head that is continued by another one is invalid, whatever its status

Besides: the connection of a HEAD request is closed without a field of its own; on the own interface only responses whose end is looked at wait for what follows them, no stream that is cancelled; a body that mentions a status line is whole there if a copy follows it.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -31,7 +31,7 @@
 // connection.
 var errStale = errors.New("this host cannot prove that its configuration is current")
 
-// errNotFinal means that a server has switched protocols, which no request asks for.
+// errNotFinal means that a server has sent an informational status as its last one, such as that of switched protocols.
 var errNotFinal = errors.New("the backend server sent no final response")
 
 // checkedConn fails writes while the host is stale. Without it, a process that is paused between the check of
@@ -54,7 +54,7 @@
 func (conn *checkedConn) Close() error {
 	err := net.ErrClosed
 	conn.closeOnce.Do(func() {
-		if conn.receipt.isSuspect() {
+		if conn.receipt.awaited.Load() && conn.receipt.isSuspect() {
 			_ = conn.SetReadDeadline(time.Now().Add(surplusWait))
 			_, _ = conn.Read(make([]byte, maxSurplusBytes))
 		}
@@ -121,6 +121,10 @@
 		_ = response.Body.Close()
 		response, err = nil, errNotFinal
 	}
+	if err == nil && link.HasSecondHead(response) {
+		_ = response.Body.Close()
+		response, err = nil, link.ErrSecondResponse
+	}
 	return sendResult{response: response, err: err, connected: connected.Load(), receipt: receipt.Load()}
 }
 
@@ -165,6 +169,9 @@
 
 // readBody reads the body of a response completely.
 func (gate *Gate) readBody(result sendResult) ([]byte, error) {
+	if result.receipt != nil {
+		result.receipt.awaited.Store(true)
+	}
 	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(result.response), maxResponseBytes+1))
 	switch {
 	case err != nil:
--- a/io/gate/surplus.go
+++ b/io/gate/surplus.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	bodyAt int64
 	total  int64
 	last   []byte
+	// awaited is set if the bytes after the body are looked at.
+	awaited atomic.Bool
 	// closed is closed once no more bytes are read.
 	closed chan struct{}
 }
@@ -107,7 +110,9 @@
 		if !isWhole && isRest || isWhole && isHead(head, func(response *http.Response) bool {
 			// An informational response is followed by a status line, as a whole body is.
 			isInformational := response.StatusCode < http.StatusOK && end == len(body) && len(rest) > 0
-			return isRest || end > len(body) || isInformational || response.ContentLength == int64(len(body))
+			// The empty line of the head may be divided.
+			isDivided := end > len(body) && len(rest) < len(surplus)
+			return isRest || isDivided || isInformational || end <= len(body) && response.ContentLength == int64(len(body))
 		}) {
 			return true
 		}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -60,8 +59,6 @@
 	idleTimeout time.Duration
 	// surplus is set once bytes that belong to no request have been found on the connection.
 	surplus bool
-	// last is set if no further exchange may follow.
-	last bool
 }
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
@@ -139,13 +136,8 @@
 			return err
 		}
 		if request.ResponseID(response.response.StatusCode, response.response.Header) == request.ID {
-			if request.Method == http.MethodHead {
-				response.response.Body = http.NoBody
-				// A late copy of the response would be read with a body.
-				response.conn.last = true
-			}
 			response.watchBody(request)
-			return response.check()
+			return response.check(request)
 		}
 		// The late response to an earlier request may precede the expected one.
 		response.conn.pool.onSurplus(response.conn.key.incarnation.ID, SurplusResponse, response.response)
@@ -190,6 +182,10 @@
 // watchBody makes the reading of a body fail at the beginning of another response. A server may send any one in a body that ends with
 // its connection, and one to the same request after a part of a body with a length or chunks.
 func (response *Response) watchBody(request *Request) {
+	if request.Method == http.MethodHead {
+		response.response.Body = http.NoBody
+		return
+	}
 	source, ends := response.response.Body, response.EndsWithConnection()
 	isResponse := func(second *http.Response) bool {
 		id := request.ResponseID(second.StatusCode, second.Header)
@@ -216,30 +212,35 @@
 }
 
 // check checks the headers and records whether, and for how long, the connection may be kept.
-func (response *Response) check() error {
+func (response *Response) check(request *Request) error {
 	header := response.response.Header
 	if header.Get("Content-Encoding") != "" {
 		return errEncoded
 	}
-	if response.hasSecondHead() {
+	if HasSecondHead(response.response) {
 		return errTwoHeads
 	}
-	response.reusable = !response.response.Close
+	// A late copy of the response to a HEAD request would be read with a body.
+	response.reusable = !response.response.Close && request.Method != http.MethodHead
 	if header.Get("Keep-Alive") != "" {
 		response.conn.idleTimeout = idleTimeoutOf(header)
 	}
 	return nil
 }
 
-// hasSecondHead reports whether a header ends with the status line of the response. The head was cut off there, and sent again.
-func (response *Response) hasSecondHead() bool {
-	statusLine := response.response.Proto + " " + response.response.Status
-	for _, contents := range response.response.Header {
-		if slices.ContainsFunc(contents, func(content string) bool { return strings.HasSuffix(content, statusLine) }) {
+// HasSecondHead reports whether the head of a response was cut off and continued by that of another one: its status line or a header
+// contains a status line.
+func HasSecondHead(response *http.Response) bool {
+	contains := func(content string) bool {
+		start := indexStatusLine([]byte(content))
+		return start >= 0 && len(content)-start >= len(statusLineForm)
+	}
+	for _, contents := range response.Header {
+		if slices.ContainsFunc(contents, contains) {
 			return true
 		}
 	}
-	return false
+	return contains(response.Status)
 }
 
 // Status returns the status code.
@@ -292,7 +293,7 @@
 	// connection is not kept.
 	detached := response.detach()
 	pool := conn.pool
-	keep := detached && response.reusable && response.complete && !response.unsent.Load() && !conn.last && conn.idleTimeout > 0 && conn.usable()
+	keep := detached && response.reusable && response.complete && !response.unsent.Load() && conn.idleTimeout > 0 && conn.usable()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if !keep {
--- a/io/link/surplus.go
+++ b/io/link/surplus.go
@@ -15,7 +15,8 @@
 )
 
 // WithOnSurplus sets a function that is called for bytes that belong to no request, with the ID of their server, and with the
-// response if they are a whole head. It must return at once, and may not read the response's body.
+// response if they are a whole head. It must return at once and not call the pool, whose mutex may be
+// held, and may not read the response's body.
 func WithOnSurplus(onSurplus func(server string, surplus Surplus, response *http.Response)) Option {
 	return func(pool *Pool) { pool.onSurplus = onSurplus }
 }
