Bodies: a status line that is sent again is found, and a copy behind a whole body does not count

What callers saw: a second response within a body, if its status line had been cut off behind the code and sent again (the head that cannot be parsed counted as a whole part of the body); and a 502 for a whole body with a length that mentions a status line near its end and is followed by a copy, or a part of one.

A head that cannot be parsed is searched again behind its status line. Bytes behind a body that begin a response show that the body is whole.

Evidence: the new case of TestSecondResponseEndsABody, TestBodyBeforeACopyIsWhole on both interfaces. TestCopiesAroundHeadRequests locked nothing, which the race detector reported.

--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -228,3 +228,35 @@
 		})
 	}
 }
+
+// Guards against the head of a second response that continues the first one, which was cut off: its body was passed on with the status of
+// the first one.
+func TestHeadThatIsContinuedByAnotherOne(t *testing.T) {
+	deployment := newDeployment(t, 1)
+	for name, first := range map[string]string{"in a header": "HTTP/1.1 200 OK\r\nX-Signature: ab", "in the reason": "HTTP/1.1 200 O"} {
+		for _, route := range []string{"orders", "stock"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				is := is.New(t)
+				deployment.servers[0].respondWith(first + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror")
+				got := deployment.post("/services/"+route+"/"+uuid.NewString(), uuid.NewString())
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusBadGateway)
+			})
+		}
+	}
+}
+
+// Guards against whole bodies that count as broken since they mention a status line and a copy follows them.
+func TestBodyBeforeACopyIsWhole(t *testing.T) {
+	const body = `{"a":"HTTP/1.1 200 OK"}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	deployment := newDeployment(t, 1)
+	for _, copied := range []string{whole, whole[:30]} {
+		is := is.New(t)
+		deployment.servers[0].respondWith(whole + copied)
+		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(string(got.body), body)
+	}
+}
--- a/io/link/again_test.go
+++ b/io/link/again_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"lentilproxy/core/spec"
@@ -41,15 +42,34 @@
 // Guards against the same after a part of the head: the second status line must not end up in a header of the first head.
 func TestHeadThatIsSentAnewAfterAPart(t *testing.T) {
 	is := is.New(t)
-	whole := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: signature\r\nContent-Length: 2\r\n\r\nok"
-	for cut := len("HTTP/1.1 200 OK\r\n"); cut < strings.Index(whole, "\r\n\r\n")+3; cut++ {
+	const headers = "X-Id: a\r\nX-Signature: signature\r\nContent-Length: 2\r\n\r\nok"
+	for _, statuses := range [][2]string{{"200 OK", "200 OK"}, {"200 OK", "500 Internal Server Error"}, {"200 ", "200 "}} {
+		first, second := "HTTP/1.1 "+statuses[0]+"\r\n"+headers, "HTTP/1.1 "+statuses[1]+"\r\n"+headers
+		for cut := len("HTTP/1.1 200 "); cut < strings.Index(first, "\r\n\r\n")+3; cut++ {
+			server := newFakeServer(t, func(conn net.Conn, _ int, _ string) bool {
+				write(conn, first[:cut]+second)
+				return false
+			})
+			_, status, err := send(newPool(t), server, "a")
+			is.Equal(status, 0)
+			is.True(err != nil)
+		}
+	}
+}
+
+// Guards against whole bodies that count as broken since they mention a status line and a copy follows them.
+func TestBodyBeforeACopyIsWhole(t *testing.T) {
+	is := is.New(t)
+	const body = "{\"a\":\"HTTP/1.1 200 OK\"}"
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for _, copied := range []string{whole, whole[:40], strings.ReplaceAll(whole, "X-Id: a", "X-Id: b"), "H"} {
 		server := newFakeServer(t, func(conn net.Conn, _ int, _ string) bool {
-			write(conn, whole[:cut]+whole)
-			return false
+			write(conn, whole+copied)
+			return true
 		})
-		_, status, err := send(newPool(t), server, "a")
-		is.Equal(status, 0)
-		is.True(err != nil)
+		got, _, err := send(newPool(t), server, "a")
+		is.NoErr(err)
+		is.Equal(got, body)
 	}
 }
 
@@ -93,12 +113,15 @@
 	for _, methods := range [][2]string{{http.MethodHead, http.MethodPost}, {http.MethodPost, http.MethodHead}} {
 		t.Run(fmt.Sprint(methods), func(t *testing.T) {
 			is := is.New(t)
+			var mutex sync.Mutex
 			late := map[net.Conn]string{}
 			server := newRequestServer(t, func(conn net.Conn, _ int, request *http.Request) bool {
 				response := okResponse(request.Header.Get("X-Id"), "ok")
 				if request.Method == http.MethodHead {
 					response = strings.TrimSuffix(response, "ok")
 				}
+				mutex.Lock()
+				defer mutex.Unlock()
 				write(conn, late[conn]+response)
 				late[conn] = response
 				return true
--- a/io/link/body.go
+++ b/io/link/body.go
@@ -95,12 +95,11 @@
 
 // scanHead decides whether the pending bytes, which begin with a status line, are a response.
 func (body *body) scanHead() {
-	switch length, possible := headLength(body.pending); {
+	switch length, checked, possible := headLength(body.pending); {
 	case !possible:
-		body.safe = len(statusLineForm)
+		body.safe = max(len(statusLineForm), checked)
 	case length > 0:
-		body.found = body.isHead(body.pending[:length])
-		body.safe = length
+		body.scanWholeHead(length)
 	case body.err != nil:
 		body.scanEnd()
 	}
@@ -109,6 +108,19 @@
 	}
 }
 
+// scanWholeHead decides whether the pending bytes, which have the form of a head up to length, are a response.
+func (body *body) scanWholeHead(length int) {
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body.pending[:length])), nil)
+	if err != nil {
+		// The status line may have been cut off and sent again.
+		body.safe = len(statusLineForm)
+		return
+	}
+	_ = response.Body.Close()
+	body.found = body.isResponse(response)
+	body.safe = length
+}
+
 // isHead reports whether content is the head of another response.
 func (body *body) isHead(content []byte) bool {
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(content)), nil)
@@ -130,12 +142,13 @@
 	default:
 		following := body.following()
 		joined := append(bytes.Clone(body.pending), following...)
-		length, possible := headLength(joined)
-		possible = possible && len(following) > 0 && isStatusLine(joined)
+		length, _, possible := headLength(joined)
+		// A whole body is followed by nothing, or by the beginning of a response.
+		possible = possible && isStatusLine(joined) && !isStatusLine(bytes.TrimLeft(following, "\r\n"))
 		body.found = possible && (length == 0 && hasHeaders(joined) || length > 0 && body.isHead(joined[:length]))
 	}
 	if !body.found {
-		body.safe = len(body.pending)
+		body.safe = min(len(body.pending), len(statusLineForm))
 	}
 }
 
@@ -148,23 +161,24 @@
 // lineEnd ends a line of a head. The parser also accepts a line feed alone, with which bodies that contain heads end their lines.
 var lineEnd = []byte("\r\n")
 
-// headLength returns the length of the head at the beginning of content, or 0 if its end has not arrived. possible is false if the
-// lines cannot be those of a head.
-func headLength(content []byte) (length int, possible bool) {
+// headLength returns the length of the head at the beginning of content, or 0 if its end has not arrived. possible is false if its lines
+// cannot be those of a head; no head begins in the first checked bytes of the content then.
+func headLength(content []byte) (length, checked int, possible bool) {
 	for rest := content; ; {
 		line, next, found := bytes.Cut(rest, lineEnd)
-		isFirst := len(rest) == len(content)
+		checked = len(content) - len(rest)
 		switch {
-		case isFirst && len(line) > maxStatusLineBytes, len(content)-len(rest) > maxSecondHeadBytes:
-			return 0, false
-		case bytes.Contains(line, lineEnd[1:]):
-			return 0, false
+		case checked > maxSecondHeadBytes:
+			// A head that begins in the second half may be shorter.
+			return 0, checked / 2, false
+		case checked == 0 && len(line) > maxStatusLineBytes, bytes.Contains(line, lineEnd[1:]):
+			return 0, checked, false
 		case !found:
-			return 0, len(content) <= maxSecondHeadBytes
-		case !isFirst && len(line) == 0:
-			return len(content) - len(next), true
-		case !isFirst && !isHeaderLine(line):
-			return 0, false
+			return 0, checked, len(content) <= maxSecondHeadBytes
+		case checked > 0 && len(line) == 0:
+			return len(content) - len(next), checked, true
+		case checked > 0 && !isHeaderLine(line):
+			return 0, checked, false
 		}
 		rest = next
 	}
--- a/io/link/body_test.go
+++ b/io/link/body_test.go
@@ -34,6 +34,7 @@
 		"line feeds only":                {strings.ReplaceAll(secondHead, "\r", ""), strings.ReplaceAll(secondHead, "\r", ""), false},
 		"folded header":                  {"bodyHTTP/1.1 200 OK\r\nA: b\r\n c\r\nX-Id: a\r\n\r\n", "body", true},
 		"head of several kilobytes":      {"bodyHTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 5000) + "\r\nX-Id: a\r\n\r\n", "body", true},
+		"status line that is sent again": {"bodyHTTP/1.1 200" + secondHead, "bodyHTTP/1.1 200", true},
 		"status line at the end":         {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n", false},
 		"long status line":               {"HTTP/1.1 200 " + strings.Repeat("a", 300) + "\r\nA: b", "HTTP/1.1 200 " + strings.Repeat("a", 300) + "\r\nA: b", false},
 		"head that is cut off":           {"bodyHTTP/1.1 200 OK\r\nX-", "body", true},
