--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -257,6 +257,6 @@
 		got := deployment.post("/services/orders/"+uuid.NewString(), uuid.NewString())
 		is.NoErr(got.err)
 		is.Equal(got.status, http.StatusOK)
-		is.Equal(string(got.body), body)
+		is.Equal(got.body, body)
 	}
 }
