One parser of heads within a body, one search for their beginnings

scanWholeHead and isHead parsed the same way; parseHead serves both. The own interface searched for the beginning of a head with an expression of its own; it calls link.MayBeginHead, which finds the same. usable asks peek once.

--- a/io/gate/surplus.go
+++ b/io/gate/surplus.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"lentilproxy/io/link"
 )
 
 const (
@@ -22,8 +24,6 @@
 var (
 	statusLine = regexp.MustCompile(`HTTP/\d\.\d \d\d\d`)
 	headEnd    = []byte("\r\n\r\n")
-	// mayBeginHead matches bytes in which a head begins, or may begin if more bytes follow.
-	mayBeginHead = regexp.MustCompile(`HTTP/\d\.\d \d\d\d|H(T(T(P(/(\d(\.(\d( (\d(\d)?)?)?)?)?)?)?)?)?)?$`)
 )
 
 // receipt records where the body of the response on a connection begins, and the last bytes that were read.
@@ -78,13 +78,13 @@
 func (receipt *receipt) isSuspect() bool {
 	receipt.mutex.Lock()
 	defer receipt.mutex.Unlock()
-	return receipt.bodyAt > 0 && mayBeginHead.Match(receipt.last[max(0, len(receipt.last)-int(receipt.total-receipt.bodyAt)):])
+	return receipt.bodyAt > 0 && link.MayBeginHead(receipt.last[max(0, len(receipt.last)-int(receipt.total-receipt.bodyAt)):])
 }
 
 // fillsUp reports whether a complete body was filled up with the beginning of another response. It waits for what follows the body if
 // that could show it.
 func (receipt *receipt) fillsUp(body []byte) bool {
-	if !mayBeginHead.Match(body) {
+	if !link.MayBeginHead(body) {
 		return false
 	}
 	select {
--- a/io/link/body.go
+++ b/io/link/body.go
@@ -110,25 +110,22 @@
 
 // scanWholeHead decides whether the pending bytes, which have the form of a head up to length, are a response.
 func (body *body) scanWholeHead(length int) {
-	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body.pending[:length])), nil)
-	if err != nil {
+	isHead, isResponse := body.parseHead(body.pending[:length])
+	body.found = isResponse
+	if body.safe = length; !isHead {
 		// The status line may have been cut off and sent again.
 		body.safe = len(statusLineForm)
-		return
 	}
-	_ = response.Body.Close()
-	body.found = body.isResponse(response)
-	body.safe = length
 }
 
-// isHead reports whether content is the head of another response.
-func (body *body) isHead(content []byte) bool {
+// parseHead reports whether content is a head, and whether it is that of another response.
+func (body *body) parseHead(content []byte) (isHead, isResponse bool) {
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(content)), nil)
 	if err != nil {
-		return false
+		return false, false
 	}
 	_ = response.Body.Close()
-	return body.isResponse(response)
+	return true, body.isResponse(response)
 }
 
 // scanEnd decides whether the last bytes of the source, which may begin a head, are a part of a response. After a failure, they are
@@ -145,7 +142,12 @@
 		length, _, possible := headLength(joined)
 		// A whole body is followed by nothing, or by the beginning of a response.
 		possible = possible && isStatusLine(joined) && !isStatusLine(bytes.TrimLeft(following, "\r\n"))
-		body.found = possible && (length == 0 && hasHeaders(joined) || length > 0 && body.isHead(joined[:length]))
+		switch {
+		case possible && length > 0:
+			_, body.found = body.parseHead(joined[:length])
+		case possible:
+			body.found = hasHeaders(joined)
+		}
 	}
 	if !body.found {
 		body.safe = min(len(body.pending), len(statusLineForm))
@@ -190,6 +192,9 @@
 	return line[0] == ' ' || line[0] == '\t' || found && httpguts.ValidHeaderFieldName(string(name))
 }
 
+// MayBeginHead reports whether the head of a response begins in content, or may begin there if more bytes follow.
+func MayBeginHead(content []byte) bool { return indexStatusLine(content) >= 0 }
+
 // indexStatusLine returns the index at which a status line begins, or may begin if more bytes follow; -1 if there is none.
 func indexStatusLine(content []byte) int {
 	for start := 0; start < len(content); start++ {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -63,10 +63,8 @@
 
 // usable reports whether the connection is open and has no unread data. Such data would belong to no request.
 func (conn *conn) usable() bool {
-	open, unread := conn.reader.Buffered() == 0, conn.reader.Buffered() > 0
-	if !unread {
-		open, unread = peek(conn.raw)
-	}
+	open, unread := peek(conn.raw)
+	unread = unread || conn.reader.Buffered() > 0
 	if unread && !conn.surplus {
 		conn.surplus = true
 		conn.pool.onSurplus(conn.key.incarnation.ID, SurplusAfterResponse, nil)
