Lease holders grant the use of adapters

Cause: a lease holder learned of running requests from gossip messages, which are 0.6 s old with 24 hosts and 1.8 s with 85. Each adapter that was used within that time counted as in use, which is every loaded one at 12 requests a second and server, so that loads waited for up to 2 s. Change: with more than 11 hosts, the pacer of a server is its lease holder. It grants the use of an adapter until the end of the request is reported (fleet.done), or says that it is not loaded. Adapters without a grant are evicted at once. The response carries the load of the server.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -74,6 +74,15 @@
 // Unread returns the number of tokens that have been granted and not been read.
 func (pacer *Pacer) Unread() int64 { return pacer.unread }
 
+// Waiting returns the number of tokens of the requests that wait.
+func (pacer *Pacer) Waiting() int64 {
+	var tokens int64
+	for _, request := range pacer.waiting {
+		tokens += request.Tokens
+	}
+	return tokens
+}
+
 // Idle reports whether no request waits or has unread tokens.
 func (pacer *Pacer) Idle() bool { return len(pacer.waiting) == 0 && len(pacer.grants) == 0 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -14,6 +14,8 @@
 const (
 	// usageLifetime is how long a peer's usage report counts. In large fleets, a peer reports only every 2 s.
 	usageLifetime = 2500 * time.Millisecond
+	// othersLifetime is how long the load that a lease holder has reported for a server is used.
+	othersLifetime = 500 * time.Millisecond
 	// initialTokenTime is the assumed time that a server takes per prompt token until it has been measured.
 	initialTokenTime = 35 * time.Microsecond
 	// minTokenTime and maxTokenTime bound the time per prompt token that is measured on a single response.
@@ -76,7 +78,10 @@
 	startedMillis int64
 	own           Usage
 	peers         map[string]peerUsage
-	tokenTime     time.Duration
+	// others is the load by the requests of other hosts, as the server's lease holder knew it at othersAt.
+	others    Usage
+	othersAt  time.Time
+	tokenTime time.Duration
 	// loaded is what the lease holder reported last; until then, the registration counts.
 	loaded Loaded
 	health health
@@ -193,6 +198,16 @@
 	scheduler.peerUsages[host] = usages
 }
 
+// SetServerUsage records the load of a server by the requests of all hosts, as its lease holder knows it.
+func (scheduler *Scheduler) SetServerUsage(now time.Time, name string, usage Usage) {
+	state := scheduler.servers[name]
+	if state == nil {
+		return
+	}
+	state.others = Usage{Running: max(0, usage.Running-state.own.Running), Backlog: max(0, usage.Backlog-state.own.Backlog), Tokens: max(0, usage.Tokens-state.own.Tokens)}
+	state.othersAt = now
+}
+
 // RetainPeers drops the usage reports of hosts that are not among the peers.
 func (scheduler *Scheduler) RetainPeers(now time.Time, peers value.Set[string]) {
 	for host := range scheduler.peerUsages {
@@ -216,6 +231,9 @@
 
 func (state *serverState) usage(now time.Time) Usage {
 	sum := state.own
+	if now.Sub(state.othersAt) < othersLifetime {
+		return sum.plus(state.others)
+	}
 	for _, peer := range state.peers {
 		if now.Sub(peer.at) < usageLifetime {
 			sum = sum.plus(peer.usage)
--- a/core/slots/counts.go
+++ b/core/slots/counts.go
@@ -77,14 +77,22 @@
 
 // inUse reports whether a request for an adapter may be running or about to be sent.
 func (controller *Controller) inUse(now time.Time, adapter string) bool {
-	if entry := controller.entries[adapter]; entry != nil && now.Sub(entry.lastUse) < controller.gossipDelay+idleMargin {
+	entry := controller.entries[adapter]
+	switch {
+	case entry == nil:
+	case controller.grants == nil && now.Sub(entry.lastUse) < controller.gossipDelay+idleMargin:
+		return true
+	case controller.grants != nil && (now.Sub(entry.readyAt) < firstUseMargin || now.Sub(entry.reportedUse) < controller.gossipDelay+idleMargin):
 		return true
 	}
 	return controller.isRunning(now, adapter)
 }
 
-// isRunning reports whether a host has recently reported a running request for an adapter.
+// isRunning reports whether a request for an adapter has a grant, or a host has recently reported a running one.
 func (controller *Controller) isRunning(now time.Time, adapter string) bool {
+	if controller.grants != nil && controller.grants.Running(adapter) > 0 {
+		return true
+	}
 	for _, counts := range controller.running {
 		if counts.counts[adapter] > 0 && now.Sub(counts.at) < runningLifetime {
 			return true
--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -175,12 +175,21 @@
 // nextUnload returns an order to unload an adapter once all hosts have been informed that it is retiring.
 func (controller *Controller) nextUnload(now time.Time) (lentilproxy.Order, bool) {
 	name := controller.oldestRetiring(now)
-	if name == "" || now.Sub(controller.entries[name].retiredAt) < controller.gossipDelay+retireMargin {
+	if name == "" || now.Sub(controller.entries[name].retiredAt) < controller.retireDelay() {
 		return lentilproxy.Order{}, false
 	}
 	return controller.order(lentilproxy.Unload, name, 0), true
 }
 
+// retireDelay returns how long a retiring adapter stays loaded. No request gets a grant for it meanwhile, so that with grants it
+// can be unloaded at once.
+func (controller *Controller) retireDelay() time.Duration {
+	if controller.grants != nil {
+		return 0
+	}
+	return controller.gossipDelay + retireMargin
+}
+
 // oldestRetiring returns the adapter that has been retiring for longest among those that are not in use, or "".
 func (controller *Controller) oldestRetiring(now time.Time) string {
 	oldest := ""
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -35,6 +35,10 @@
 	}
 	for name, version := range loaded {
 		entry := controller.entryOf(now, name)
+		if !controller.hasReport {
+			// Requests may be running that had a grant of the previous lease holder.
+			entry.reportedUse = now
+		}
 		entry.phase, entry.version, entry.replacing = ready, version, pending[name]
 	}
 	for name := range pending {
@@ -153,6 +157,9 @@
 		return
 	}
 	entry := controller.entryOf(now, order.Ref.Adapter)
+	if entry.phase != ready {
+		entry.readyAt = now
+	}
 	entry.phase, entry.replacing = ready, false
 	entry.version = max(entry.version, order.Version)
 }
--- a/core/slots/request.go
+++ b/core/slots/request.go
@@ -6,6 +6,14 @@
 
 // AddDemand counts requests for an adapter.
 func (controller *Controller) AddDemand(now time.Time, adapter string, count float64) {
+	if entry := controller.entries[adapter]; entry != nil {
+		entry.use(now, count)
+		entry.reportedUse = now
+	}
+}
+
+// AddGrantedDemand counts requests for an adapter that had a grant.
+func (controller *Controller) AddGrantedDemand(now time.Time, adapter string, count float64) {
 	if entry := controller.entries[adapter]; entry != nil {
 		entry.use(now, count)
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -26,6 +26,8 @@
 	idleMargin = 250 * time.Millisecond
 	// runningLifetime is how long a host's report of its running requests is valid.
 	runningLifetime = 2500 * time.Millisecond
+	// firstUseMargin is how long an adapter that has been loaded waits for the grants of the requests that wanted it.
+	firstUseMargin = 200 * time.Millisecond
 	// retireMargin is how much longer than the gossip delay a retiring adapter stays loaded. The other hosts have
 	// received the change by then.
 	retireMargin = 150 * time.Millisecond
@@ -73,7 +75,11 @@
 	orderAt     time.Time
 	polledAt    time.Time
 	requestedAt time.Time
+	// lastUse is when the adapter was last requested, reportedUse when a host last reported a request that had no grant, and
+	// readyAt when the adapter was loaded.
 	lastUse     time.Time
+	reportedUse time.Time
+	readyAt     time.Time
 	// demand is a count of requests that decays over demandDecayTime, as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -131,6 +137,8 @@
 	recentlyUnloaded map[string]time.Time
 	// versions maps adapters to their newest announced versions.
 	versions map[string]int64
+	// grants knows the requests that have been sent with a grant of this host; nil if hosts do not ask for grants.
+	grants *Grants
 }
 
 // New returns the controller of a server before its first report, which is due at reportAt.
@@ -144,6 +152,10 @@
 // SetGossipDelay sets the time within which hosts report their requests and loaded adapters to each other.
 func (controller *Controller) SetGossipDelay(delay time.Duration) { controller.gossipDelay = delay }
 
+// SetGrants sets the grants of the server's requests. Adapters without a grant then count as unused at once, and no longer only
+// after the hosts have had time to report their requests.
+func (controller *Controller) SetGrants(grants *Grants) { controller.grants = grants }
+
 // SetVersions sets the newest announced versions of the model's adapters.
 func (controller *Controller) SetVersions(versions map[string]int64) { controller.versions = versions }
 
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -29,6 +29,8 @@
 	// changed is closed and replaced after every outcome of an order and every report.
 	changed chan struct{}
 	cancel  context.CancelFunc
+	// grants are the requests with a grant; nil if hosts do not ask for grants.
+	grants *slots.Grants
 	// published is the state that was last published to the host's traffic and to peers; revision counts its changes.
 	published sched.Loaded
 	revision  int64
@@ -130,6 +132,7 @@
 }
 
 func (control *control) endController(name string) {
+	control.coordinator.traffic.pacers.uses.stop(control.controllers[name].server.Incarnation())
 	control.controllers[name].cancel()
 	close(control.controllers[name].changed)
 	delete(control.controllers, name)
@@ -184,7 +187,21 @@
 	return outcome, err
 }
 
-func (control *control) nextStep(now time.Time, controller *controller) step {
+// startGrants lets hosts ask for grants for the requests to a server. Uses must be locked.
+func (control *control) startGrants(controller *controller) {
+	controller.grants = control.coordinator.traffic.pacers.uses.begin(controller.server.Incarnation())
+	controller.grants.SetLoaded(controller.published.Adapters)
+	controller.slots.SetGrants(controller.grants)
+}
+
+// nextStep decides on the next action of a controller. No grant is given meanwhile, so that no adapter is evicted for which a
+// grant is given at the same time.
+func (control *control) nextStep(now time.Time, controller *controller) (next step) {
+	control.coordinator.traffic.pacers.uses.locked(func() { next = control.decideStep(now, controller) })
+	return next
+}
+
+func (control *control) decideStep(now time.Time, controller *controller) step {
 	if control.controllers[controller.server.ID] != controller {
 		return step{wait: idlePollInterval}
 	}
@@ -198,6 +215,11 @@
 	if !holds || controller.server.Draining {
 		return step{wait: idlePollInterval}
 	}
+	if controller.grants != nil {
+		for adapter, count := range controller.grants.TakeDemand() {
+			controller.slots.AddGrantedDemand(now, adapter, count)
+		}
+	}
 	if controller.slots.Retire(now) {
 		control.publishLoaded(controller)
 	}
@@ -272,12 +294,17 @@
 	if control.controllers[controller.server.ID] != controller {
 		return
 	}
-	control.publishLoaded(controller)
+	control.coordinator.traffic.pacers.uses.locked(func() {
+		control.publishLoaded(controller)
+		if controller.grants == nil && controller.slots.HasReport() && control.coordinator.traffic.grantsInUse() {
+			control.startGrants(controller)
+		}
+	})
 	close(controller.changed)
 	controller.changed = make(chan struct{})
 }
 
-// publishLoaded updates what the host's own traffic state records as loaded on a server. Peers receive it in the next
+// publishLoaded, with uses locked, updates what the host's own traffic state records as loaded on a server. Peers receive it in the next
 // gossip message.
 func (control *control) publishLoaded(controller *controller) {
 	loaded := sched.Loaded{Adapters: controller.slots.Ready(), Orderable: controller.slots.HasReport()}
@@ -289,6 +316,9 @@
 	}
 	controller.published = loaded
 	controller.revision++
+	if controller.grants != nil {
+		controller.grants.SetLoaded(loaded.Adapters)
+	}
 	control.coordinator.traffic.setLoaded(controller.server.ID, controller.server.StartedMillis, loaded)
 }
 
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -122,7 +122,8 @@
 	control.coordinator.do(func(now time.Time) {
 		fields := []any{"server", params.Server, "adapter", params.Adapter, "outcome", result.Outcome, "ms", waited.Milliseconds()}
 		if controller := control.controllers[params.Server]; controller != nil {
-			counts := controller.slots.Counts(now)
+			var counts slots.Counts
+			control.coordinator.traffic.pacers.uses.locked(func() { counts = controller.slots.Counts(now) })
 			fields = append(fields, "places", counts.Capacity, "ready", counts.Ready, "in_use", counts.InUse, "loading", counts.Loading,
 				"requested", counts.Requested, "leaving", counts.Unloading, "busy", counts.Busy, "synced", counts.Synced)
 		}
@@ -137,7 +138,9 @@
 	for {
 		var result loadResult
 		var changed chan struct{}
-		if !control.coordinator.do(func(now time.Time) { result, changed = control.checkLoad(now, params, first) }) {
+		if !control.coordinator.do(func(now time.Time) {
+			control.coordinator.traffic.pacers.uses.locked(func() { result, changed = control.checkLoad(now, params, first) })
+		}) {
 			return loadResult{Outcome: LoadNoHolder}
 		}
 		first = false
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -19,6 +19,8 @@
 	methodPace  = "fleet.pace"
 	methodRead  = "fleet.read"
 	methodPause = "fleet.pause"
+	// methodDone reports the end of a request with a grant.
+	methodDone = "fleet.done"
 )
 
 // handle dispatches a call of a peer to the method's handler.
@@ -38,6 +40,8 @@
 		return respond(params, func(params paceParams) paceResult { return control.coordinator.traffic.pacers.handlePace(ctx, params) })
 	case methodRead:
 		return respond(params, control.coordinator.traffic.pacers.handleRead)
+	case methodDone:
+		return respond(params, control.coordinator.traffic.pacers.handleDone)
 	case methodPause:
 		return respond(params, control.coordinator.traffic.pacers.handlePause)
 	default:
--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -8,6 +8,7 @@
 
 	"lentilproxy/core/lease"
 	"lentilproxy/core/pace"
+	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
@@ -34,10 +35,29 @@
 	DueMS     int64 `json:"due_ms"`
 	// ObjectiveMS is the objective for the pauses between events of streams on the server.
 	ObjectiveMS int64 `json:"objective_ms"`
+	// Adapter is the adapter that the request uses, MinVersion its lowest version that may serve the request, Memory the cache memory
+	// in tokens that the request may use, and LeftMS the time until it ends at the latest.
+	Adapter    string `json:"adapter,omitempty"`
+	MinVersion int64  `json:"min_version,omitempty"`
+	Memory     int64  `json:"memory,omitempty"`
+	LeftMS     int64  `json:"left_ms,omitempty"`
 }
 
 type paceResult struct {
 	Ticket int64 `json:"ticket"`
+	// Granted reports whether the server's lease holder has granted the use of the adapter until the end of the request is
+	// reported. Missing reports that it is not loaded, so that the request must not be sent.
+	Granted bool `json:"granted,omitempty"`
+	Missing bool `json:"missing,omitempty"`
+	// Usage is the load of the server by all requests with a grant.
+	Usage *sched.Usage `json:"usage,omitempty"`
+}
+
+// doneParams reports that the request of a ticket has ended.
+type doneParams struct {
+	Server        string `json:"server"`
+	StartedMillis int64  `json:"born"`
+	Ticket        int64  `json:"ticket"`
 }
 
 // readParams reports that the prompt of a ticket has been read, or will not be.
@@ -70,6 +90,8 @@
 	avoidedUntil map[string]time.Time
 	// reportedAt is when a pause on each server was last reported.
 	reportedAt map[string]time.Time
+	// uses holds the grants for the servers whose lease holder this host is.
+	uses *uses
 }
 
 type serverPacer struct {
@@ -81,7 +103,7 @@
 func newPacers() *pacers {
 	return &pacers{
 		servers: map[spec.Incarnation]*serverPacer{}, hosts: map[string]string{}, preferred: map[string]string{},
-		avoidedUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{},
+		avoidedUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, uses: newUses(),
 	}
 }
 
@@ -138,6 +160,13 @@
 	return name, address, found
 }
 
+// avoided reports whether a host is not asked for a while.
+func (pacers *pacers) avoided(now time.Time, host string) bool {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	return now.Before(pacers.avoidedUntil[host])
+}
+
 // avoid stops asking a host for a while.
 func (pacers *pacers) avoid(now time.Time, host string) {
 	pacers.mutex.Lock()
@@ -148,9 +177,22 @@
 
 // handlePace handles a request to send a prompt. It returns once the prompt may be sent, or can no longer wait.
 func (pacers *pacers) handlePace(ctx context.Context, params paceParams) paceResult {
-	ticket, granted := pacers.add(clock.Now(), params)
+	now := clock.Now()
+	incarnation := spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}
+	use := pacers.uses.take(now, incarnation, pacers.nextTicket(), params)
+	if use.missing {
+		return paceResult{Missing: true}
+	}
+	ticket, granted := pacers.add(now, use.ticket, params)
+	result := func() paceResult {
+		if !use.granted {
+			return paceResult{Ticket: ticket}
+		}
+		usage := pacers.usageOf(incarnation)
+		return paceResult{Ticket: ticket, Granted: true, Usage: &usage}
+	}
 	if granted == nil {
-		return paceResult{Ticket: ticket}
+		return result()
 	}
 	timer := time.NewTimer(time.Duration(params.MaxWaitMS) * time.Millisecond)
 	defer timer.Stop()
@@ -163,11 +205,29 @@
 		server.pacer.Force(now, ticket)
 		delete(server.granted, ticket)
 	})
-	return paceResult{Ticket: ticket}
+	return result()
+}
+
+func (pacers *pacers) nextTicket() int64 {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	pacers.lastTicket++
+	return pacers.lastTicket
+}
+
+// usageOf returns the load of a server by all requests with a grant.
+func (pacers *pacers) usageOf(incarnation spec.Incarnation) sched.Usage {
+	usage := pacers.uses.load(incarnation)
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	if server := pacers.servers[incarnation]; server != nil {
+		usage.Backlog = server.pacer.Unread() + server.pacer.Waiting()
+	}
+	return usage
 }
 
 // add adds a request to a pacer. The channel is nil if the prompt may be sent at once.
-func (pacers *pacers) add(now time.Time, params paceParams) (int64, <-chan struct{}) {
+func (pacers *pacers) add(now time.Time, ticket int64, params paceParams) (int64, <-chan struct{}) {
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
 	incarnation := spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}
@@ -176,8 +236,7 @@
 		server = &serverPacer{pacer: pace.New(now, time.Duration(params.ObjectiveMS)*time.Millisecond), granted: map[int64]chan struct{}{}}
 		pacers.servers[incarnation] = server
 	}
-	pacers.lastTicket++
-	ticket, granted := pacers.lastTicket, make(chan struct{})
+	granted := make(chan struct{})
 	server.granted[ticket] = granted
 	server.pacer.Add(pace.Request{ID: ticket, Tokens: params.Tokens, Due: now.Add(time.Duration(params.DueMS) * time.Millisecond)})
 	server.dispatch(now)
@@ -215,6 +274,13 @@
 	return true
 }
 
+// handleDone ends a request's grant. Its prompt counts as read.
+func (pacers *pacers) handleDone(params doneParams) bool {
+	pacers.uses.end(spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}, params.Ticket)
+	pacers.update(params.Server, params.StartedMillis, func(_ time.Time, server *serverPacer) { server.pacer.Release(params.Ticket) })
+	return true
+}
+
 func (pacers *pacers) handlePause(params pauseParams) bool {
 	pacers.update(params.Server, params.StartedMillis, func(now time.Time, server *serverPacer) {
 		server.pacer.RecordPause(now, time.Duration(params.PauseMS)*time.Millisecond)
@@ -239,34 +305,68 @@
 	server      spec.Server
 	address     string
 	ticket      int64
+	granted     bool
+	missing     bool
 	once        sync.Once
+	doneOnce    sync.Once
+}
+
+// PromptRequest describes a request that wants to send its prompt to a server.
+type PromptRequest struct {
+	Tokens       int64
+	OutputTokens int64
+	// MaxWait bounds how long the prompt may be held back, and Due is the time until the request should have its first event.
+	MaxWait time.Duration
+	Due     time.Duration
+	// GapObjective is the objective for the pauses between events of streams on the server.
+	GapObjective time.Duration
+	// Adapter is the adapter that the request uses, and MinVersion its lowest version that may serve the request.
+	Adapter    string
+	MinVersion int64
+	// Left is the time until the request ends at the latest.
+	Left time.Duration
+}
+
+// pacerOf returns the host to ask before a request is sent to a server, and its address, which is empty for this host. With many
+// hosts this is the server's lease holder, which then knows at any time which adapters are in use.
+func (coordinator *Coordinator) pacerOf(now time.Time, server string) (host, address string, found bool) {
+	traffic := coordinator.traffic
+	if traffic.grantsInUse() {
+		if name, address, known := traffic.holderHost(server); known && !traffic.pacers.avoided(now, name) {
+			return name, address, true
+		}
+	}
+	return traffic.pacers.hostFor(now, server)
 }
 
-// Pace waits until a prompt may be sent to a server, but no longer than maxWait. Due is the time until the request should
-// have its first event, and objective that for the pauses between events. The prompt has to be ended; it may be nil.
-func (coordinator *Coordinator) Pace(ctx context.Context, server spec.Server, tokens int64, maxWait, due, objective time.Duration) *Prompt {
+// Pace waits until a prompt may be sent to a server. The prompt has to be ended with Done; it may be nil.
+func (coordinator *Coordinator) Pace(ctx context.Context, server spec.Server, request PromptRequest) *Prompt {
 	pacers := coordinator.traffic.pacers
-	host, address, found := pacers.hostFor(clock.Now(), server.ID)
+	host, address, found := coordinator.pacerOf(clock.Now(), server.ID)
 	if !found {
 		return nil
 	}
 	params := paceParams{
-		Server: server.ID, StartedMillis: server.StartedMillis, Tokens: tokens, MaxWaitMS: max(0, maxWait.Milliseconds()),
-		DueMS: due.Milliseconds(), ObjectiveMS: objective.Milliseconds(),
+		Server: server.ID, StartedMillis: server.StartedMillis, Tokens: request.Tokens, MaxWaitMS: max(0, request.MaxWait.Milliseconds()),
+		DueMS: request.Due.Milliseconds(), ObjectiveMS: request.GapObjective.Milliseconds(),
+	}
+	if coordinator.traffic.grantsInUse() {
+		params.Adapter, params.MinVersion, params.LeftMS = request.Adapter, request.MinVersion, request.Left.Milliseconds()
+		params.Memory = request.Tokens + request.OutputTokens
 	}
 	prompt := &Prompt{coordinator: coordinator, server: server, address: address}
 	if address == "" {
-		prompt.ticket = pacers.handlePace(ctx, params).Ticket
+		prompt.apply(pacers.handlePace(ctx, params))
 		return prompt
 	}
 	granted := make(chan error, 1)
 	go func() {
 		// The caller's context must not end the call, since the peer's connection is closed if a call times out.
-		callCtx, cancel := context.WithTimeout(coordinator.ctx, maxWait+paceCallMargin)
+		callCtx, cancel := context.WithTimeout(coordinator.ctx, request.MaxWait+paceCallMargin)
 		defer cancel()
 		var result paceResult
 		err := coordinator.peers.Call(callCtx, address, methodPace, params, &result)
-		prompt.ticket = result.Ticket
+		prompt.apply(result)
 		granted <- err
 	}()
 	select {
@@ -280,16 +380,30 @@
 	case <-ctx.Done():
 		go func() {
 			if <-granted == nil {
-				prompt.End()
+				prompt.Done()
 			}
 		}()
 		return nil
 	}
 }
 
+// apply applies the response of the pacer.
+func (prompt *Prompt) apply(result paceResult) {
+	prompt.ticket, prompt.granted, prompt.missing = result.Ticket, result.Granted, result.Missing
+	if result.Usage != nil && prompt.address != "" {
+		prompt.coordinator.traffic.setServerUsage(clock.Now(), prompt.server.ID, *result.Usage)
+	}
+}
+
+// Granted reports whether the server's lease holder knows of the request until its end.
+func (prompt *Prompt) Granted() bool { return prompt != nil && prompt.granted }
+
+// Missing reports that the server does not have the request's adapter, so that the request must not be sent.
+func (prompt *Prompt) Missing() bool { return prompt != nil && prompt.missing }
+
 // End records that the prompt has been read or will not be. Only the first call counts.
 func (prompt *Prompt) End() {
-	if prompt == nil {
+	if prompt == nil || prompt.missing {
 		return
 	}
 	prompt.once.Do(func() {
@@ -298,6 +412,18 @@
 	})
 }
 
+// Done records that the request has ended. Only the first call counts.
+func (prompt *Prompt) Done() {
+	if !prompt.Granted() {
+		prompt.End()
+		return
+	}
+	prompt.doneOnce.Do(func() {
+		params := doneParams{Server: prompt.server.ID, StartedMillis: prompt.server.StartedMillis, Ticket: prompt.ticket}
+		prompt.coordinator.tellPacer(prompt.address, methodDone, params, func(pacers *pacers) { pacers.handleDone(params) })
+	})
+}
+
 // tellPacer calls a method of a host that paces a server, or the local handler if the address is empty, without waiting.
 func (coordinator *Coordinator) tellPacer(address, method string, params any, local func(pacers *pacers)) {
 	if address == "" {
@@ -318,7 +444,7 @@
 	if float64(pause) < minReportedFraction*float64(objective) || !coordinator.traffic.pacers.reportDue(now, server.ID) {
 		return
 	}
-	_, address, found := coordinator.traffic.pacers.hostFor(now, server.ID)
+	_, address, found := coordinator.pacerOf(now, server.ID)
 	if !found {
 		return
 	}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -55,6 +55,7 @@
 
 // holder is the lease holder of a server. own is set if it is this host.
 type holder struct {
+	name    string
 	address string
 	own     bool
 }
@@ -105,7 +106,7 @@
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
 		if known, found := registry.Holder(name); found {
-			traffic.holders[name] = holder{address: known.PeerAddress, own: known.Name == self}
+			traffic.holders[name] = holder{name: known.Name, address: known.PeerAddress, own: known.Name == self}
 		}
 	}
 }
@@ -117,12 +118,34 @@
 	return known.address, known.own
 }
 
+// holderHost returns the name and address of a server's lease holder. The address is empty for this host.
+func (traffic *Traffic) holderHost(server string) (name, address string, found bool) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	known, found := traffic.holders[server]
+	if known.own {
+		return known.name, "", true
+	}
+	return known.name, known.address, found && known.address != ""
+}
+
+// grantsInUse reports whether hosts ask lease holders for grants. With few hosts their reports of running requests are recent
+// enough.
+func (traffic *Traffic) grantsInUse() bool { return traffic.hostCount() > maxExchanges+1 }
+
+// setServerUsage records the load of a server as its lease holder knows it.
+func (traffic *Traffic) setServerUsage(now time.Time, server string, usage sched.Usage) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.scheduler.SetServerUsage(now, server, usage)
+}
+
 func (traffic *Traffic) setLoaded(server string, startedMillis int64, loaded sched.Loaded) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	traffic.scheduler.SetLoaded(server, startedMillis, loaded)
 	if loaded.Orderable {
-		traffic.holders[server] = holder{own: true}
+		traffic.holders[server] = holder{name: traffic.coordinator.settings.Host.Name, own: true}
 	}
 }
 
@@ -143,7 +166,7 @@
 	for server, update := range message.Loaded {
 		traffic.scheduler.SetLoaded(server, update.StartedMillis, update.Loaded)
 		if address, found := traffic.lenders.addresses[message.Host]; found {
-			traffic.holders[server] = holder{address: address}
+			traffic.holders[server] = holder{name: message.Host, address: address}
 		}
 	}
 }
@@ -217,13 +240,25 @@
 func (traffic *Traffic) Start(now time.Time, server spec.Server, job sched.Job) *sched.Run {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	if job.Ref.Adapter != "" {
-		count(traffic.demand, server.ID, job.Ref.Adapter, 1)
-		count(traffic.running, server.ID, job.Ref.Adapter, 1)
-	}
 	return traffic.scheduler.Start(now, server, job)
 }
 
+// CountUse counts a request without a grant for the reports to the server's lease holder. The returned function ends it.
+func (traffic *Traffic) CountUse(run *sched.Run) (end func()) {
+	if run.Adapter() == "" {
+		return func() {}
+	}
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	count(traffic.demand, run.Server(), run.Adapter(), 1)
+	count(traffic.running, run.Server(), run.Adapter(), 1)
+	return func() {
+		traffic.mutex.Lock()
+		defer traffic.mutex.Unlock()
+		count(traffic.running, run.Server(), run.Adapter(), -1)
+	}
+}
+
 // count adds to a counter by server and adapter, and deletes it if it becomes zero.
 func count[N int | float64](counters map[string]map[string]N, server, adapter string, change N) {
 	adapters := counters[server]
@@ -251,9 +286,6 @@
 func (traffic *Traffic) End(run *sched.Run) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	if run.Adapter() != "" {
-		count(traffic.running, run.Server(), run.Adapter(), -1)
-	}
 	traffic.scheduler.End(run)
 }
 
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -53,6 +53,8 @@
 	failed
 	// blocked means that the request must not be sent to any server.
 	blocked
+	// missing means that the server no longer has the adapter, as its lease holder knows. Nothing was sent.
+	missing
 )
 
 // serve tries servers until one responds or the request is refused.
@@ -104,6 +106,9 @@
 
 // recordAttempt records an attempt that did not finish the request. It reports whether another one may follow.
 func (call *call) recordAttempt(result attemptResult, server spec.Server) bool {
+	if result == missing {
+		return true
+	}
 	if result != declined {
 		call.avoid.Add(server.ID)
 	}
@@ -222,7 +227,13 @@
 	run := traffic.Start(clock.Now(), server, call.job())
 	defer traffic.End(run)
 	prompt := call.pace(server)
-	defer prompt.End()
+	defer prompt.Done()
+	if prompt.Missing() {
+		return call.handleMissing(server)
+	}
+	if !prompt.Granted() {
+		defer traffic.CountUse(run)()
+	}
 	if !call.mayStillSend(server) {
 		return unsent, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "the backend server takes no requests now").WithRetryAfter(capacityRetryAfter)
 	}
@@ -268,11 +279,21 @@
 	due := call.receivedAt.Add(call.route.Objective).Sub(clock.Now())
 	maxWait := max(minPaceWait, time.Duration(maxPaceFraction*float64(call.route.Objective))-clock.Now().Sub(call.receivedAt))
 	startedAt := clock.Now()
-	prompt := call.service.coordinator.Pace(call.ctx, server, call.info.PromptTokens, maxWait, due, objective)
+	prompt := call.service.coordinator.Pace(call.ctx, server, coord.PromptRequest{
+		Tokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, MaxWait: maxWait, Due: due, GapObjective: objective, Adapter: call.info.Model.Adapter,
+		MinVersion: call.view.Versions[call.info.Model], Left: call.remaining(),
+	})
 	call.paceTime += clock.Now().Sub(startedAt)
 	return prompt
 }
 
+// handleMissing handles the reply that a server no longer has the adapter.
+func (call *call) handleMissing(server spec.Server) (attemptResult, *refuse.Refusal) {
+	call.service.metrics.Counter("adapters_missing").Inc(1)
+	call.service.coordinator.Traffic().UpdateScheduler(func(scheduler *sched.Scheduler) { scheduler.RemoveAdapter(server.ID, call.info.Model.Adapter) })
+	return missing, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "the backend server no longer has the adapter").WithRetryAfter(capacityRetryAfter)
+}
+
 // mayStillSend reports whether the request may still be sent to a server that was chosen a while ago.
 func (call *call) mayStillSend(server spec.Server) bool {
 	if call.service.coordinator.Traffic().Wait(clock.Now(), server.Incarnation()) > 0 {
