Orders without a response are sent again at once

Cause: an order without a response stopped all loads of its server for about a second, 400 ms until the time-out and 500 ms until a report. Change: the order is sent again with the same sequence; a report is requested after two repeats.

--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -53,6 +53,9 @@
 	if !controller.synced || now.Before(controller.backoffUntil) {
 		return lentilproxy.Order{}, false
 	}
+	if controller.unanswered != nil {
+		return *controller.unanswered, true
+	}
 	if !controller.hasModel {
 		return controller.nextModel(now, mayLoadModel)
 	}
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -84,8 +84,12 @@
 		return
 	}
 	entry := controller.entryOf(now, order.Ref.Adapter)
-	controller.previous = *entry
 	entry.polledAt = now
+	if controller.unanswered != nil {
+		// The entry and whether the server counts the order are as for the first one.
+		return
+	}
+	controller.previous = *entry
 	controller.repeatedOrder = false
 	switch {
 	case order.Kind == lentilproxy.Unload && (entry.phase == ready || entry.phase == retiring):
@@ -101,6 +105,9 @@
 
 // ApplyOutcome applies the outcome of the order in progress.
 func (controller *Controller) ApplyOutcome(now time.Time, order lentilproxy.Order, outcome lentilproxy.OrderOutcome) {
+	if controller.unanswered != nil && !controller.applyRepeated(now, order, outcome) {
+		return
+	}
 	if outcome != lentilproxy.OrderConflict {
 		controller.conflicts = 0
 	}
@@ -164,8 +171,47 @@
 	entry.version = max(entry.version, order.Version)
 }
 
+// MarkUnanswered records that the server has not responded to an order, so that it may carry the order out, now or later. The order is
+// sent again: if the server has carried it out, or is carrying it out, it says so, and if it receives the first one later, it refuses
+// that for its sequence.
+func (controller *Controller) MarkUnanswered(now time.Time, order lentilproxy.Order) {
+	if order.Ref.Adapter == "" || controller.repeats >= maxRepeats {
+		controller.MarkOutcomeUnknown(now)
+		return
+	}
+	controller.unanswered = &order
+	controller.repeats++
+}
+
+// applyRepeated applies the outcome of an order that was sent again. It reports whether the outcome is then handled like that of any
+// other order.
+func (controller *Controller) applyRepeated(now time.Time, order lentilproxy.Order, outcome lentilproxy.OrderOutcome) bool {
+	first := *controller.unanswered
+	advanced := controller.advanced
+	controller.unanswered, controller.advanced = nil, false
+	if outcome == lentilproxy.OrderConflict && !controller.repeatedOrder {
+		// The server has probably carried the first one out. If so, it accepts the next sequence.
+		controller.sequence++
+		controller.repeatedOrder, controller.advanced = true, true
+		first.Sequence = controller.sequence
+		controller.unanswered = &first
+		return false
+	}
+	controller.repeats = 0
+	switch {
+	case outcome == lentilproxy.OrderConflict && advanced:
+		controller.MarkOutcomeUnknown(now)
+		return false
+	case outcome == lentilproxy.OrderSatisfied && order.Kind == lentilproxy.Load && !controller.repeatedOrder:
+		// The server has carried the first one out and has counted it.
+		controller.sequence++
+	}
+	return true
+}
+
 // MarkOutcomeUnknown records that the effect of an order is unknown, so that a new report is needed.
 func (controller *Controller) MarkOutcomeUnknown(now time.Time) {
+	controller.unanswered, controller.advanced, controller.repeats = nil, false, 0
 	controller.synced = false
 	controller.resyncAt = now.Add(resyncDelay)
 }
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -4,6 +4,8 @@
 import (
 	"math"
 	"time"
+
+	"lentilproxy"
 )
 
 const (
@@ -51,6 +53,8 @@
 	reserveDivisor = 9
 	// requestLifetime is how long a requested adapter waits to be loaded before the request is dropped.
 	requestLifetime = 3 * time.Second
+	// maxRepeats is the number of times that an order without a response is sent again before a report is requested.
+	maxRepeats = 2
 	// resyncDelay is the time between an order with unknown effect and the request for a report, since reports lag.
 	resyncDelay = 500 * time.Millisecond
 )
@@ -127,6 +131,11 @@
 	repeatedOrder bool
 	// previous is the adapter's entry as it was before the order in progress was sent.
 	previous adapterEntry
+	// unanswered is the last order if the server did not respond to it, and repeats the number of times that it was sent again.
+	// advanced reports whether the sequence was advanced, since the server seems to have carried it out.
+	unanswered *lentilproxy.Order
+	advanced   bool
+	repeats    int
 	// conflicts counts consecutive conflicts of orders; none is sent before backoffUntil.
 	conflicts     int
 	conflictSince time.Time
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -263,7 +263,7 @@
 	coordinator := control.coordinator
 	known := controller.slots.HasAdapter(order)
 	if err != nil {
-		controller.slots.MarkOutcomeUnknown(now)
+		controller.slots.MarkUnanswered(now, order)
 		coordinator.log.Info("order outcome unknown", "server", controller.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
 			"sequence", order.Sequence, "token", order.Token, "error", err.Error())
 	} else {
