Adapters are loaded in the order of urgency

Cause: while more adapters are requested than the weight store delivers, loads for requests that were late already delayed those that could still be served in time. Change: load requests carry the time until the first event is due. Adapters whose requests can still meet it come before the others; adapters that the server had recently come first, as before.

--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -151,9 +151,10 @@
 }
 
 // mostRequested returns the adapter to load next, or "". Adapters that the server unloaded recently come first, since
-// it loads them fast.
+// it loads them fast; then those whose requests can still have their first event in time. While loads are scarce, the others
+// would make these late as well.
 func (controller *Controller) mostRequested(now time.Time) string {
-	best, fast, most := "", false, -1.0
+	best, bestRank, most := "", -1, -1.0
 	storeBusy := controller.storeLoadingCount() >= MaxStoreLoads
 	for _, name := range controller.names() {
 		entry := controller.entries[name]
@@ -165,11 +166,18 @@
 			continue
 		}
 		_, kept := controller.recentlyUnloaded[name]
-		if !kept && (storeBusy || fast) {
+		if !kept && storeBusy {
 			continue
 		}
-		if demand := entry.demandNow(now); demand > most || (kept && !fast) {
-			best, fast, most = name, kept, demand
+		rank := 0
+		switch {
+		case kept:
+			rank = 2
+		case !now.Add(minStoreLoadTime).After(entry.dueAt):
+			rank = 1
+		}
+		if demand := entry.demandNow(now); rank > bestRank || (rank == bestRank && demand > most) {
+			best, bestRank, most = name, rank, demand
 		}
 	}
 	return best
--- a/core/slots/request.go
+++ b/core/slots/request.go
@@ -37,6 +37,14 @@
 	LoadRejected
 )
 
+// RequestBy requests an adapter for a request that should have its first event by a point in time.
+func (controller *Controller) RequestBy(now time.Time, adapter string, demand float64, due time.Time) LoadState {
+	if entry := controller.entryOf(now, adapter); due.After(entry.dueAt) {
+		entry.dueAt = due
+	}
+	return controller.Request(now, adapter, demand)
+}
+
 // Request requests an adapter and adds to its demand, which is a number of requests.
 func (controller *Controller) Request(now time.Time, adapter string, demand float64) LoadState {
 	entry := controller.entryOf(now, adapter)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -84,6 +84,8 @@
 	lastUse     time.Time
 	reportedUse time.Time
 	readyAt     time.Time
+	// dueAt is the latest time at which one of the requests that wait for the adapter should have its first event.
+	dueAt time.Time
 	// demand is a count of requests that decays over demandDecayTime, as of demandAt.
 	demand   float64
 	demandAt time.Time
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -37,6 +37,8 @@
 	Adapter       string  `json:"adapter"`
 	Demand        float64 `json:"demand"`
 	WaitMS        int64   `json:"wait_ms"`
+	// DueMS is the time until the request should have its first event; 0 if the load is not for a waiting request.
+	DueMS int64 `json:"due_ms,omitempty"`
 }
 
 type loadResult struct {
@@ -56,8 +58,9 @@
 }
 
 // Load requests that an adapter be loaded on a server, and waits for the outcome.
-func (coordinator *Coordinator) Load(ctx context.Context, server spec.Server, adapter string) LoadOutcome {
-	pending := coordinator.requestLoad(server, adapter)
+// Due is the time until the waiting request should have its first event.
+func (coordinator *Coordinator) Load(ctx context.Context, server spec.Server, adapter string, due time.Duration) LoadOutcome {
+	pending := coordinator.requestLoad(server, adapter, due)
 	select {
 	case <-pending.done:
 		return pending.outcome
@@ -68,19 +71,22 @@
 
 // Replicate requests that another copy of an adapter be loaded on a server, without waiting for it.
 func (coordinator *Coordinator) Replicate(server spec.Server, adapter string) {
-	coordinator.requestLoad(server, adapter)
+	coordinator.requestLoad(server, adapter, 0)
 }
 
 // requestLoad returns the load request for an adapter on a server. It starts one unless one is in progress.
-func (coordinator *Coordinator) requestLoad(server spec.Server, adapter string) *pendingLoad {
+func (coordinator *Coordinator) requestLoad(server spec.Server, adapter string, due time.Duration) *pendingLoad {
 	return coordinator.traffic.joinLoad(loadKey{incarnation: server.Incarnation(), adapter: adapter}, func(pending *pendingLoad) {
-		go coordinator.runLoad(server, adapter, pending)
+		go coordinator.runLoad(server, adapter, due, pending)
 	})
 }
 
 // runLoad sends a load request to the lease holder of the server and stores the outcome.
-func (coordinator *Coordinator) runLoad(server spec.Server, adapter string, pending *pendingLoad) {
-	params := loadParams{Server: server.ID, StartedMillis: server.StartedMillis, Adapter: adapter, Demand: 1, WaitMS: maxLoadWait.Milliseconds()}
+func (coordinator *Coordinator) runLoad(server spec.Server, adapter string, due time.Duration, pending *pendingLoad) {
+	params := loadParams{
+		Server: server.ID, StartedMillis: server.StartedMillis, Adapter: adapter, Demand: 1, WaitMS: maxLoadWait.Milliseconds(),
+		DueMS: max(0, due.Milliseconds()),
+	}
 	result := coordinator.callHolder(params)
 	if result.Outcome == LoadReady {
 		coordinator.traffic.addAdapter(server, adapter, result.Version)
@@ -179,7 +185,8 @@
 	}
 	var state slots.LoadState
 	if first {
-		state = controller.slots.Request(now, params.Adapter, params.Demand)
+		due := now.Add(time.Duration(params.DueMS) * time.Millisecond)
+		state = controller.slots.RequestBy(now, params.Adapter, params.Demand, due)
 		controller.wakeUp()
 	} else {
 		state = controller.slots.State(now, params.Adapter)
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -194,7 +194,7 @@
 	startedAt := clock.Now()
 	ctx, cancel := context.WithTimeout(call.ctx, call.firstEventDeadline.Sub(startedAt)-firstEventMargin)
 	defer cancel()
-	outcome := call.service.coordinator.Load(ctx, choice.Server, call.info.Model.Adapter)
+	outcome := call.service.coordinator.Load(ctx, choice.Server, call.info.Model.Adapter, call.receivedAt.Add(call.route.Objective).Sub(startedAt))
 	call.loadTime += clock.Now().Sub(startedAt)
 	call.service.metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("adapter_loads").Inc(1)
 	if outcome == coord.LoadReady {
