--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -69,9 +69,10 @@
 	}
 }
 
-// uneventful reports whether the request succeeded on the first server and within its objective.
+// uneventful reports whether the request succeeded on the first server and within its objectives.
 func (call *call) uneventful() bool {
-	return call.outcome == outcomeAnswered && call.status < http.StatusBadRequest && len(call.servers) == 1 &&
+	paused := call.route != nil && call.route.GapObjective > 0 && call.longestPause > call.route.GapObjective
+	return call.outcome == outcomeAnswered && call.status < http.StatusBadRequest && len(call.servers) == 1 && !paused &&
 		call.firstEventAt.Sub(call.receivedAt) <= call.route.Objective
 }
 
@@ -103,7 +104,7 @@
 		fields = append(fields, "sent_us", call.sentAt.Sub(call.receivedAt).Microseconds())
 	}
 	if !call.firstEventAt.IsZero() {
-		fields = append(fields, "first_ms", call.firstEventAt.Sub(call.receivedAt).Milliseconds())
+		fields = append(fields, "first_ms", call.firstEventAt.Sub(call.receivedAt).Milliseconds(), "longest_pause_ms", call.longestPause.Milliseconds())
 	}
 	if refusal != nil {
 		fields = append(fields, "code", refusal.Code(), "reason", refusal.Message(), "executed", refusal.Executed(),
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -119,6 +119,8 @@
 	runCount     int
 	sentAt       time.Time
 	firstEventAt time.Time
+	// longestPause is the longest time between two events of the stream.
+	longestPause time.Duration
 	loadTime     time.Duration
 	// paceTime is how long the request was held back so that prompts are spread.
 	paceTime time.Duration
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -118,6 +118,7 @@
 			prompt.End()
 			if !lastAt.IsZero() && objective > 0 {
 				call.service.coordinator.RecordPause(now, server, now.Sub(lastAt), objective)
+				call.longestPause = max(call.longestPause, now.Sub(lastAt))
 			}
 			lastAt = now
 			if !call.relayEvents(response, content) {
