Add core/admit: one order of admission over all hosts for a plain service

Cause: hosts choose by load data that is 0.2 to 1.8 s old, so that requests accumulate at some servers while others have free slots. Change: a queue assigns servers by declared slots, learned speed and reported failures, orders waiting requests by priority, share of the workspace and due time, and refuses at arrival what cannot be served in time.

--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,427 @@
+// Package admit assigns the servers of one plain service to the requests of all hosts.
+//
+// Hosts that choose servers by themselves see the same idle server at the same time, since what they know of each other's
+// requests is older than a request lasts. A queue therefore decides for all of them: a server gets no more requests at a time
+// than it has slots, and if all slots are in use, requests wait in one order. The queue learns how long requests take and how
+// fast each server is from the time between an assignment and its end.
+package admit
+
+import (
+	"time"
+
+	"lentilproxy/core/value"
+)
+
+const (
+	// initialWork is the assumed duration of a request until some have been measured.
+	initialWork = 50 * time.Millisecond
+	// maxWaiting bounds the waiting requests.
+	maxWaiting = 4096
+	// maxClasses, maxWorkspaces and maxRefusals bound what is remembered about classes of requests, workspaces and refusals.
+	maxClasses    = 256
+	maxWorkspaces = 4096
+	maxRefusals   = 8192
+	// expiryGrace is how long after its request's deadline an assignment still counts if its host has not ended it.
+	expiryGrace = 250 * time.Millisecond
+	// UsageLifetime is how long a host's report of requests that this queue has not assigned counts.
+	UsageLifetime = 2500 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should return.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+	// returnFraction is the fraction of the service rate at which refused callers are asked to return. The rest is for newcomers.
+	returnFraction = 0.5
+	// returnSlack is how much earlier than asked a refused caller may return, and returnLifetime how much later, to be preferred to
+	// newcomers.
+	returnSlack    = 10 * time.Millisecond
+	returnLifetime = 10 * time.Second
+	// returnBoost is the fraction of its objective by which a request that came back is due earlier than a newcomer, and
+	// returnAhead the fraction of the requests ahead of it that count for its refusal.
+	returnBoost = 0.5
+	returnAhead = 0.5
+)
+
+// Ticket identifies a request of a host. The host chooses the ID.
+type Ticket struct {
+	Host string
+	ID   int64
+}
+
+// Server is a server that may get requests.
+type Server struct {
+	ID            string
+	StartedMillis int64
+	Slots         int
+}
+
+// Request is a request that needs a server.
+type Request struct {
+	Ticket    Ticket
+	Workspace string
+	// Digest identifies the content of the request, so that a repeat is recognised; it may be empty.
+	Digest string
+	// Class names requests that take about the same time, such as those of a route.
+	Class string
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Due is when the response is late, and Deadline when it is worth nothing.
+	Due      time.Time
+	Deadline time.Time
+	// Avoid are the servers that the request must not be sent to.
+	Avoid value.Set[string]
+}
+
+// Reason states why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// ReasonBusy means that no slot is expected to be free before the request's deadline less its work.
+	ReasonBusy Reason = "busy"
+	// ReasonExpired means that the request has waited until its deadline left no time for its work.
+	ReasonExpired Reason = "expired"
+	// ReasonQueueFull means that too many requests wait.
+	ReasonQueueFull Reason = "queue_full"
+	// ReasonNoServer means that the request must not be sent to any of the servers.
+	ReasonNoServer Reason = "no_server"
+)
+
+// Decision is the end of a request's wait.
+type Decision struct {
+	Ticket Ticket
+	// Server is empty if the request is refused.
+	Server Server
+	Reason Reason
+	// RetryAfter is the time after which the caller of a refused request should return.
+	RetryAfter time.Duration
+	// Ahead is the number of requests that were ahead of this one when it arrived.
+	Ahead  int
+	Waited time.Duration
+	// StateAge is the age of the oldest report of a host that the decision relied on.
+	StateAge time.Duration
+}
+
+// waiting is a request that has no server yet.
+type waiting struct {
+	request   Request
+	arrivedAt time.Time
+	// key is the time by which requests of the same class are ordered.
+	key       time.Time
+	ahead     int
+	workspace *workspace
+	class     *estimate
+}
+
+// assignment is a request that a server was assigned to.
+type assignment struct {
+	ticket   Ticket
+	class    *estimate
+	expected time.Duration
+	at       time.Time
+	expires  time.Time
+	server   *server
+}
+
+// Queue assigns the servers of one service. It is not safe for concurrent use.
+type Queue struct {
+	startedAt time.Time
+	servers   map[string]*server
+	// ordered holds the open servers by ID, so that decisions do not depend on the order of the map.
+	ordered     []*server
+	assignments map[Ticket]*assignment
+	waiting     []*waiting
+	// candidates is reused by pick.
+	candidates []candidate
+	// work is the usual duration of a request, and classes that of each class.
+	work       estimate
+	classes    *value.Recent[string, *estimate]
+	workspaces *value.Recent[workspaceKey, *workspace]
+	// errorRate is the usual share of responses that are errors.
+	errorRate float64
+	// virtualTime is the virtual time of the workspace that was served last.
+	virtualTime float64
+	// turns counts the assignments of waiting requests.
+	turns int
+	// refusals maps refused requests to the time at which they should return, and nextReturn is when the next one should.
+	refusals   *value.Recent[refusalKey, time.Time]
+	nextReturn time.Time
+}
+
+type refusalKey struct {
+	workspace string
+	digest    string
+}
+
+// New returns a queue without servers.
+func New(now time.Time) *Queue {
+	return &Queue{
+		startedAt: now, servers: map[string]*server{}, assignments: map[Ticket]*assignment{}, work: estimate{mean: initialWork},
+		classes: value.NewRecent[string, *estimate](maxClasses), workspaces: value.NewRecent[workspaceKey, *workspace](maxWorkspaces),
+		refusals: value.NewRecent[refusalKey, time.Time](maxRefusals),
+	}
+}
+
+// Waiting returns the number of waiting requests by priority.
+func (queue *Queue) Waiting() map[int]int {
+	counts := map[int]int{}
+	for _, waiting := range queue.waiting {
+		counts[waiting.request.Priority]++
+	}
+	return counts
+}
+
+// Idle reports whether no request waits or has a server.
+func (queue *Queue) Idle() bool { return len(queue.waiting) == 0 && len(queue.assignments) == 0 }
+
+// InUse returns the number of requests that a server has, as far as the queue knows.
+func (queue *Queue) InUse(now time.Time, id string) int {
+	server := queue.servers[id]
+	if server == nil {
+		return 0
+	}
+	return server.inUse(now)
+}
+
+// Add adds a request to the waiting ones. It returns a refusal if no slot is expected to be free in time. Otherwise the request
+// waits until a result of Next contains it, which may be at once.
+func (queue *Queue) Add(now time.Time, request Request) (refusal Decision, refused bool) {
+	added := &waiting{request: request, arrivedAt: now, key: request.Due, workspace: queue.arrive(now, request), class: queue.classOf(request.Class)}
+	if !queue.hasServerFor(request) {
+		return Decision{Ticket: request.Ticket, Reason: ReasonNoServer}, true
+	}
+	returning := queue.takeReturn(now, request)
+	if returning {
+		added.key = request.Due.Add(-time.Duration(returnBoost * float64(request.Due.Sub(now))))
+	}
+	queue.expire(now)
+	added.ahead = queue.aheadOf(now, added)
+	if len(queue.waiting) >= maxWaiting {
+		return queue.refuse(now, added, ReasonQueueFull), true
+	}
+	if queue.hasFreeSlot(now, request) {
+		queue.waiting = append(queue.waiting, added)
+		return Decision{}, false
+	}
+	counted := added.ahead
+	if returning {
+		counted = int(returnAhead * float64(counted))
+	}
+	if room := request.Deadline.Sub(now) - added.class.mean; queue.expectedWait(now, counted) > room {
+		return queue.refuse(now, added, ReasonBusy), true
+	}
+	queue.waiting = append(queue.waiting, added)
+	return Decision{}, false
+}
+
+// takeReturn reports whether a request was refused before and has come back when it should.
+func (queue *Queue) takeReturn(now time.Time, request Request) bool {
+	if request.Digest == "" {
+		return false
+	}
+	key := refusalKey{workspace: request.Workspace, digest: request.Digest}
+	at, found := queue.refusals.Get(key)
+	if !found || at.IsZero() || now.Before(at.Add(-returnSlack)) || now.After(at.Add(returnLifetime)) {
+		return false
+	}
+	queue.refusals.Put(key, time.Time{})
+	return true
+}
+
+// refuse returns the refusal of a request. Refused callers are asked to return one after the other.
+func (queue *Queue) refuse(now time.Time, refused *waiting, reason Reason) Decision {
+	room := max(0, refused.request.Deadline.Sub(now)-refused.class.mean)
+	wait := min(max(queue.expectedWait(now, refused.ahead)-room, minRetryAfter), maxRetryAfter)
+	at := now.Add(wait)
+	if queue.nextReturn.After(at) && queue.nextReturn.Sub(now) <= maxRetryAfter {
+		at = queue.nextReturn
+	}
+	if rate := queue.rate(now); rate > 0 {
+		queue.nextReturn = at.Add(time.Duration(float64(time.Second) / (returnFraction * rate)))
+	}
+	if refused.request.Digest != "" {
+		queue.refusals.Put(refusalKey{workspace: refused.request.Workspace, digest: refused.request.Digest}, at)
+	}
+	return Decision{
+		Ticket: refused.request.Ticket, Reason: reason, RetryAfter: at.Sub(now), Ahead: refused.ahead, Waited: now.Sub(refused.arrivedAt),
+		StateAge: queue.stateAge(now),
+	}
+}
+
+// Next returns the assignments and refusals that can be decided now.
+func (queue *Queue) Next(now time.Time) []Decision {
+	queue.expire(now)
+	decisions := queue.refuseExpired(now)
+	for len(queue.waiting) > 0 {
+		index, server := queue.pick(now)
+		if server == nil {
+			break
+		}
+		picked := queue.waiting[index]
+		queue.waiting = append(queue.waiting[:index], queue.waiting[index+1:]...)
+		queue.assign(now, picked, server)
+		decisions = append(decisions, Decision{
+			Ticket: picked.request.Ticket, Server: server.declared, Ahead: picked.ahead, Waited: now.Sub(picked.arrivedAt), StateAge: queue.stateAge(now),
+		})
+	}
+	return decisions
+}
+
+// refuseExpired returns the refusals of the waiting requests that can no longer be served.
+func (queue *Queue) refuseExpired(now time.Time) []Decision {
+	var decisions []Decision
+	kept := queue.waiting[:0]
+	for _, waiting := range queue.waiting {
+		// A request that has just arrived is served if a slot is free, since its work may be less than usual.
+		expired := !now.Before(waiting.request.Deadline) || now.After(waiting.arrivedAt) && now.After(waiting.latestStart())
+		switch {
+		case !queue.hasServerFor(waiting.request):
+			decisions = append(decisions, Decision{Ticket: waiting.request.Ticket, Reason: ReasonNoServer, Ahead: waiting.ahead, Waited: now.Sub(waiting.arrivedAt)})
+		case expired:
+			decisions = append(decisions, queue.refuse(now, waiting, ReasonExpired))
+		default:
+			kept = append(kept, waiting)
+		}
+	}
+	clear(queue.waiting[len(kept):])
+	queue.waiting = kept
+	return decisions
+}
+
+// latestStart returns until when the request can still end before its deadline.
+func (waiting *waiting) latestStart() time.Time {
+	return waiting.request.Deadline.Add(-waiting.class.mean)
+}
+
+// NextEvent returns when Next may decide something without another call before, if there is such a time.
+func (queue *Queue) NextEvent(now time.Time) (time.Time, bool) {
+	if len(queue.waiting) == 0 {
+		return time.Time{}, false
+	}
+	next := queue.waiting[0].request.Deadline
+	consider := func(at time.Time) {
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	for _, waiting := range queue.waiting {
+		consider(waiting.latestStart())
+	}
+	for _, assignment := range queue.assignments {
+		consider(assignment.expires)
+	}
+	for _, server := range queue.servers {
+		if server.pausedUntil.After(now) {
+			consider(server.pausedUntil)
+		}
+		for _, report := range server.reported {
+			consider(report.at.Add(UsageLifetime))
+		}
+	}
+	// The end of a wait is decided after latestStart, not at it.
+	return latest(next, now).Add(time.Millisecond), true
+}
+
+func latest(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
+func (queue *Queue) assign(now time.Time, picked *waiting, server *server) {
+	request := picked.request
+	added := &assignment{
+		ticket: request.Ticket, class: picked.class, expected: server.expected(picked.class.mean), at: now,
+		expires: request.Deadline.Add(expiryGrace), server: server,
+	}
+	queue.assignments[request.Ticket] = added
+	server.assigned = append(server.assigned, added)
+	queue.serve(picked.workspace)
+}
+
+// expire drops the assignments and reports that no longer count.
+func (queue *Queue) expire(now time.Time) {
+	for _, assignment := range queue.assignments {
+		if !now.Before(assignment.expires) {
+			queue.drop(assignment)
+		}
+	}
+	for _, server := range queue.servers {
+		for host, report := range server.reported {
+			if now.Sub(report.at) >= UsageLifetime {
+				delete(server.reported, host)
+			}
+		}
+	}
+}
+
+func (queue *Queue) drop(dropped *assignment) {
+	delete(queue.assignments, dropped.ticket)
+	dropped.server.remove(dropped)
+}
+
+// End records how a request ended, or that its host no longer waits for a server. It reports whether the request was known.
+func (queue *Queue) End(now time.Time, ticket Ticket, outcome Outcome) bool {
+	for index, waiting := range queue.waiting {
+		if waiting.request.Ticket == ticket {
+			queue.waiting = append(queue.waiting[:index], queue.waiting[index+1:]...)
+			return true
+		}
+	}
+	ended := queue.assignments[ticket]
+	if ended == nil {
+		return false
+	}
+	queue.drop(ended)
+	switch outcome {
+	case OutcomeOK:
+		queue.learn(now, ended)
+		queue.errorRate -= errorWeight * queue.errorRate
+	case OutcomeFailed:
+		queue.errorRate += errorWeight * (1 - queue.errorRate)
+	case OutcomeUnreachable, OutcomeRejected, OutcomeUnused:
+	}
+	ended.server.record(now, ended.at, outcome, queue.baselineErrorRate(now, ended.server))
+	return true
+}
+
+// learn updates the usual durations and the speed of a server from a request that has ended well.
+func (queue *Queue) learn(now time.Time, ended *assignment) {
+	duration := now.Sub(ended.at)
+	ended.server.learn(float64(duration) / float64(max(ended.class.mean, time.Millisecond)))
+	ended.class.add(duration)
+	queue.work.add(duration)
+}
+
+// classOf returns the usual duration of requests of a class.
+func (queue *Queue) classOf(class string) *estimate {
+	known, found := queue.classes.Get(class)
+	if !found {
+		known = &estimate{mean: queue.work.mean}
+	}
+	queue.classes.Put(class, known)
+	return known
+}
+
+// RetainHosts drops the requests and reports of hosts that are not among the given ones.
+func (queue *Queue) RetainHosts(hosts value.Set[string]) {
+	for ticket, assignment := range queue.assignments {
+		if !hosts.Has(ticket.Host) {
+			queue.drop(assignment)
+		}
+	}
+	kept := queue.waiting[:0]
+	for _, waiting := range queue.waiting {
+		if hosts.Has(waiting.request.Ticket.Host) {
+			kept = append(kept, waiting)
+		}
+	}
+	clear(queue.waiting[len(kept):])
+	queue.waiting = kept
+	for _, server := range queue.servers {
+		for host := range server.reported {
+			if !hosts.Has(host) {
+				delete(server.reported, host)
+			}
+		}
+	}
+}
