Ask a dispatcher for the servers of plain services

Change: calls dispatch.take and dispatch.done between hosts; the dispatcher is the first host by rendezvous hashing.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -3,8 +3,9 @@
 //
 // The decisions are made in core packages. Package lease decides which host holds a server, that is, which one may
 // send it orders. Package slots chooses the orders, which load base models, and load and unload adapters. Package
-// sched chooses the server for a request, package pace decides when its prompt is sent, package limit divides the limits
-// of workspaces over the hosts, and package gossip decides when to call which peer.
+// sched chooses the server for a request, package pace decides when its prompt is sent, package admit assigns the servers of
+// plain services, package limit divides the limits of workspaces over the hosts, and package gossip decides when to call
+// which peer.
 //
 // The flow of events:
 //
@@ -167,6 +168,7 @@
 	coordinator.peerServer = peer.NewServer(listener, coordinator.meter, control.handle)
 	control.servers.filter = control.serverChanged
 	coordinator.spawn(control.runTasks)
+	coordinator.spawn(coordinator.traffic.dispatchers.run)
 	for _, table := range control.tables() {
 		coordinator.spawn(func() { control.follow(table) })
 	}
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -19,6 +19,9 @@
 	methodPace  = "fleet.pace"
 	methodRead  = "fleet.read"
 	methodPause = "fleet.pause"
+	// methodTake asks the dispatcher of a plain service for a server, and methodDone reports the ends of requests.
+	methodTake = "dispatch.take"
+	methodDone = "dispatch.done"
 )
 
 // handle dispatches a call of a peer to the method's handler.
@@ -40,6 +43,12 @@
 		return respond(params, control.coordinator.traffic.pacers.handleRead)
 	case methodPause:
 		return respond(params, control.coordinator.traffic.pacers.handlePause)
+	case methodTake:
+		return respond(params, func(params takeParams) takeResult {
+			return control.coordinator.traffic.dispatchers.handleTake(ctx, params)
+		})
+	case methodDone:
+		return respond(params, control.coordinator.traffic.dispatchers.handleDone)
 	default:
 		if result, handled, err := control.coordinator.blocks.Handle(method, params); handled {
 			return result, err
--- /dev/null
+++ b/io/coord/rank.go
@@ -0,0 +1,62 @@
+package coord
+
+import (
+	"maps"
+	"time"
+
+	"lentilproxy/core/lease"
+	"lentilproxy/core/value"
+)
+
+// hostRank chooses one host for each key by rendezvous hashing. Hosts that do not respond are passed over for a while. It is not safe
+// for concurrent use.
+type hostRank struct {
+	// hosts maps the hosts to their addresses; that of this host is empty.
+	hosts map[string]string
+	// preferred caches the host of each key.
+	preferred map[string]string
+	// avoidedUntil maps hosts that did not respond to the time until which they are not chosen.
+	avoidedUntil map[string]time.Time
+}
+
+func newHostRank() *hostRank {
+	return &hostRank{hosts: map[string]string{}, preferred: map[string]string{}, avoidedUntil: map[string]time.Time{}}
+}
+
+// setHosts replaces the hosts.
+func (hostRank *hostRank) setHosts(hosts map[string]string) {
+	if maps.Equal(hosts, hostRank.hosts) {
+		return
+	}
+	hostRank.hosts = hosts
+	clear(hostRank.preferred)
+}
+
+// hostFor returns the host for a key, and its address. The address is empty for this host, and found is false if there is no host.
+func (hostRank *hostRank) hostFor(now time.Time, key string) (name, address string, found bool) {
+	for host, until := range hostRank.avoidedUntil {
+		if !now.Before(until) {
+			delete(hostRank.avoidedUntil, host)
+			clear(hostRank.preferred)
+		}
+	}
+	name, known := hostRank.preferred[key]
+	if !known {
+		candidates := make([]string, 0, len(hostRank.hosts))
+		for _, host := range value.Sorted(hostRank.hosts) {
+			if _, avoided := hostRank.avoidedUntil[host]; !avoided {
+				candidates = append(candidates, host)
+			}
+		}
+		name = lease.Preferred(key, candidates)
+		hostRank.preferred[key] = name
+	}
+	address, found = hostRank.hosts[name]
+	return name, address, found
+}
+
+// avoid passes over a host until a time.
+func (hostRank *hostRank) avoid(host string, until time.Time) {
+	hostRank.avoidedUntil[host] = until
+	clear(hostRank.preferred)
+}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -51,6 +51,8 @@
 	bounds    setup.Bounds
 	// pacers has a mutex of its own.
 	pacers *pacers
+	// dispatchers has a mutex of its own, which is never held while this one is taken.
+	dispatchers *dispatchers
 }
 
 // holder is the lease holder of a server. own is set if it is this host.
@@ -68,6 +70,7 @@
 		lenders: lenders{addresses: map[string]string{}}, limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds, pacers: newPacers(),
 	}
+	traffic.dispatchers = newDispatchers(coordinator, traffic.usageReports)
 	limiter := limit.New(coordinator.settings.Host.Name, limit.WithOpenTime(clock.Now()))
 	traffic.loans = loans.New(coordinator.ctx, coordinator.settings.Host.Name, limiter, coordinator.peers.Call, borrowWait,
 		func() { coordinator.post(traffic.exchangeLoans) }, loans.WithClock(clock.Now), loans.WithMetrics(coordinator.metrics))
@@ -81,6 +84,7 @@
 	traffic.scheduler.UpdateServers(view.Servers)
 	traffic.configureLimits(now, view)
 	traffic.pacers.retain(view.Servers)
+	traffic.dispatchers.updateView(now, view)
 }
 
 // updateHosts applies the hosts that share limits, and the lease holders of servers.
@@ -101,6 +105,7 @@
 		pacerHosts[name] = address
 	}
 	traffic.pacers.setHosts(pacerHosts)
+	traffic.dispatchers.setHosts(now, pacerHosts)
 	traffic.scheduler.RetainPeers(now, value.NewSet(known.names...))
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
@@ -148,6 +153,13 @@
 	}
 }
 
+// usageReports returns the usage of a service's servers as reported by peers.
+func (traffic *Traffic) usageReports(now time.Time, servers []string) map[string]sched.Report {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.scheduler.Reports(now, servers)
+}
+
 func (traffic *Traffic) ownUsage() map[string]sched.Usage {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
