Use the dispatcher for requests to plain services

Change: findServer asks it before the scheduler chooses; an attempt that was rejected or failed names the servers to avoid; the slot is free again once the server has responded in full, before the caller has received the response. Result: the tests of io/serve pass; no test of processes was run for this commit.

--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/admit"
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
@@ -60,6 +61,8 @@
 	traffic := call.service.coordinator.Traffic()
 	traffic.CountRequest(clock.Now(), call.target.Name)
 	last := refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server could take the request").WithRetryAfter(capacityRetryAfter)
+	// A slot that was assigned but not used is free again.
+	defer func() { call.endAssignment(admit.OutcomeUnused) }()
 	for range maxSendAttempts {
 		server, refusal := call.findServer(last)
 		if refusal != nil {
@@ -70,6 +73,7 @@
 			return last
 		}
 		result, refusal := call.attempt(server)
+		call.endAttempt(result, server)
 		if result == finished {
 			return nil
 		}
@@ -88,9 +92,17 @@
 		if call.ctx.Err() != nil || call.remaining() < minRemaining {
 			return spec.Server{}, call.expired(last)
 		}
+		server, refusal, decided := call.dispatch()
+		switch {
+		case decided && refusal == nil:
+			return server, nil
+		case decided:
+			return spec.Server{}, refuse.Merge(last, refusal)
+		}
 		choice, refusal := call.choose()
 		switch {
 		case refusal == nil && (!choice.Load || call.load(choice)):
+			call.countUndispatched(choice.Server)
 			return choice.Server, nil
 		case refusal == nil:
 			continue
@@ -315,6 +327,9 @@
 	if call.ctx.Err() == nil && !errors.Is(err, link.ErrBusy) {
 		now := clock.Now()
 		call.service.coordinator.Traffic().UpdateScheduler(func(scheduler *sched.Scheduler) { scheduler.RecordUnreachable(now, server.ID) })
+		if !errors.Is(err, link.ErrBroken) {
+			call.endAssignment(admit.OutcomeUnreachable)
+		}
 	}
 	if !errors.Is(err, link.ErrBroken) {
 		return unsent, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "the backend server could not be reached").WithRetryAfter(capacityRetryAfter)
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -46,6 +46,7 @@
 		return call.handleBadResponse(server, "the backend server's answer broke off")
 	}
 	now := clock.Now()
+	call.endResponse(response.Status())
 	call.service.coordinator.Traffic().RecordFirstEvent(now, run)
 	serverError := response.Status() >= http.StatusInternalServerError
 	if response.Status() >= http.StatusMultipleChoices {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -122,6 +122,8 @@
 	loadTime     time.Duration
 	// paceTime is how long the request was held back so that prompts are spread.
 	paceTime time.Duration
+	// dispatched is the state of a request to a plain service whose servers are assigned by a dispatcher.
+	dispatched dispatched
 	// fallback is a server's error response, which is passed on unless another server responds.
 	fallback *fallbackResponse
 	// lastEvent is the ID of the last event that was passed on. resumed reports whether the current attempt resumes the
