--- a/core/admit/model_test.go
+++ b/core/admit/model_test.go
@@ -309,6 +309,35 @@
 	return send
 }
 
+// leased divides the slots over the hosts for good. A request waits until a slot of its own host is free.
+func (model *model) leased() func(call *modelCall) {
+	free, waiting := map[*modelHost][]int{}, map[*modelHost][]*modelCall{}
+	for slot := range modelServers * modelSlots {
+		host := model.hosts[slot%modelHosts]
+		free[host] = append(free[host], slot%modelServers)
+	}
+	var start func(host *modelHost)
+	start = func(host *modelHost) {
+		for len(free[host]) > 0 && len(waiting[host]) > 0 {
+			call, number := waiting[host][0], free[host][0]
+			waiting[host], free[host] = waiting[host][1:], free[host][1:]
+			if model.now.Sub(call.arrivedAt) > modelDeadline-modelWork {
+				free[host] = append(free[host], number)
+				continue
+			}
+			model.send(call, number, func(Outcome) {
+				model.end(call)
+				free[host] = append(free[host], number)
+				start(host)
+			})
+		}
+	}
+	return func(call *modelCall) {
+		waiting[call.host] = append(waiting[call.host], call)
+		start(call.host)
+	}
+}
+
 // leastLoad returns the server with the least load as a host knows it. Servers in other data centres count as if they had two more
 // requests.
 func leastLoad(host *modelHost, allowed []int) int {
