Admission: leave time for 1.5 times the usual work before a request counts as late

Cause: with time for the usual work alone, nearly half of the requests that start at the last moment end late.

--- a/core/admit/model_test.go
+++ b/core/admit/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -359,6 +360,12 @@
 	rejected, late, refused float64
 }
 
+// String returns the times in milliseconds, and the shares in percent.
+func (summary summary) String() string {
+	return fmt.Sprintf("p50 %d ms, p90 %d ms, rejected %.1f %%, late %.1f %%, without response in time %.2f %%",
+		summary.median.Milliseconds(), summary.ninetieth.Milliseconds(), 100*summary.rejected, 100*summary.late, 100*summary.refused)
+}
+
 func summarise(calls []*modelCall, include func(call *modelCall) bool) summary {
 	var result summary
 	var latencies []time.Duration
--- a/core/admit/order.go
+++ b/core/admit/order.go
@@ -15,6 +15,9 @@
 	// fairSlack is the number of requests by which a workspace may be ahead of its share before requests of others with later due times
 	// are served first.
 	fairSlack = 4
+	// workMargin is the part of the usual work for which time must be left for a request to count as still in time. With 1, nearly half
+	// of those that start at the last moment are late; with 2, requests that could be in time are held back for later ones.
+	workMargin = 1.5
 )
 
 type workspaceKey struct {
@@ -58,7 +61,7 @@
 
 // late reports whether a request can no longer end before it is due.
 func (waiting *waiting) late(now time.Time) bool {
-	return now.Add(waiting.class.mean).After(waiting.request.Due)
+	return now.Add(time.Duration(workMargin * float64(waiting.class.mean))).After(waiting.request.Due)
 }
 
 // pick returns the index of the next request and its server. The server is nil if none can be assigned.
