Admission: keep the limit of a host's connections to a server; more responses before a server counts as failing

Cause: a host may open only some connections to a server, so a request beyond that could not be sent to the server assigned to it. With 8 responses, a server with the usual 7 to 14 % of errors would have been paused now and then. A request whose time ends while its host waits for the dispatcher is told when to return.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -68,6 +68,9 @@
 	Deadline time.Time
 	// Avoid are the servers that the request must not be sent to.
 	Avoid value.Set[string]
+	// HostLimit is the number of requests that the host may send to one server at a time, since it may open no more connections; 0 means
+	// no limit.
+	HostLimit int
 }
 
 // Reason states why a request was refused.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -200,6 +200,20 @@
 	is.True(!refused)
 }
 
+// Guards against more requests of a host on one server than it may open connections to.
+func TestHostLimitHolds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	queue := New(now)
+	queue.SetServers([]Server{{ID: "s0", Slots: 6}, {ID: "s1", Slots: 6}})
+	for id := range int64(6) {
+		_, refused := queue.Add(now, Request{Ticket: Ticket{Host: "h", ID: id}, HostLimit: 2, Due: now.Add(modelObjective), Deadline: now.Add(modelDeadline)})
+		is.True(!refused)
+	}
+	is.Equal(len(queue.Next(now)), 4)
+	is.Equal(queue.InUse(now, "s0"), 2)
+}
+
 // Guards against a restarted dispatcher that assigns slots which are still in use, or that waits longer than hosts' reports count.
 func TestDispatcherThatRestartsWithAllSlotsInUse(t *testing.T) {
 	is := is.New(t)
--- a/core/admit/order.go
+++ b/core/admit/order.go
@@ -77,7 +77,7 @@
 	}
 	candidates := queue.candidates[:0]
 	for index, waiting := range queue.waiting {
-		if queue.mayUse(waiting, free) {
+		if waiting.mayUse(free) {
 			candidates = append(candidates, candidate{waiting: waiting, index: index, late: waiting.late(now)})
 		}
 	}
@@ -102,12 +102,13 @@
 	late    bool
 }
 
-func (queue *Queue) mayUse(waiting *waiting, free []*server) bool {
-	if len(waiting.request.Avoid) == 0 {
+// mayUse reports whether a waiting request may be sent to one of the servers.
+func (waiting *waiting) mayUse(free []*server) bool {
+	if len(waiting.request.Avoid) == 0 && waiting.request.HostLimit <= 0 {
 		return true
 	}
 	for _, server := range free {
-		if !waiting.request.Avoid.Has(server.declared.ID) {
+		if server.mayRun(waiting.request) {
 			return true
 		}
 	}
@@ -119,7 +120,7 @@
 	var best *server
 	least := time.Duration(math.MaxInt64)
 	for _, server := range free {
-		if waiting.request.Avoid.Has(server.declared.ID) {
+		if !server.mayRun(waiting.request) {
 			continue
 		}
 		if remaining := server.remaining(now, waiting.class.mean); best == nil || remaining < least {
--- a/core/admit/server.go
+++ b/core/admit/server.go
@@ -39,8 +39,8 @@
 	errorDecayTime = time.Second
 	// minResponses is the number of recent responses below which an error rate is not significant, and minTrialResponses that of a
 	// server that is tried again.
-	minResponses      = 8
-	minTrialResponses = 1.5
+	minResponses      = 12
+	minTrialResponses = 2.5
 	// maxExcessErrorRate is how far a server's error rate may exceed that of the other servers.
 	maxExcessErrorRate = 0.25
 	// errorWeight is the weight of the newest response in the usual error rate.
@@ -213,8 +213,8 @@
 // hasFreeSlot reports whether a server that a request may be sent to has a free slot that no other request waits for.
 func (queue *Queue) hasFreeSlot(now time.Time, request Request) bool {
 	free := 0
-	for id, server := range queue.servers {
-		if !request.Avoid.Has(id) {
+	for _, server := range queue.ordered {
+		if server.mayRun(request) {
 			free += max(0, server.free(now))
 		}
 	}
@@ -237,6 +237,23 @@
 	return sum / count
 }
 
+// mayRun reports whether a request may be sent to the server.
+func (server *server) mayRun(request Request) bool {
+	if request.Avoid.Has(server.declared.ID) {
+		return false
+	}
+	if request.HostLimit <= 0 {
+		return true
+	}
+	count := server.reported[request.Ticket.Host].running
+	for _, assignment := range server.assigned {
+		if assignment.ticket.Host == request.Ticket.Host {
+			count++
+		}
+	}
+	return count < request.HostLimit
+}
+
 func (server *server) remove(removed *assignment) {
 	if index := slices.Index(server.assigned, removed); index >= 0 {
 		server.assigned = slices.Delete(server.assigned, index, index+1)
--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilproxy/core/admit"
+	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
@@ -24,6 +25,8 @@
 	Deadline time.Time
 	// Avoid are the servers that the request must not be sent to.
 	Avoid value.Set[string]
+	// hostLimit is the number of connections that this host may open to one server; 0 means no limit.
+	hostLimit int
 }
 
 // AdmissionOutcome is the result of a demand.
@@ -72,12 +75,15 @@
 	if !used {
 		return Admission{}
 	}
-	for _, server := range servers {
-		if coordinator.traffic.Wait(clock.Now(), spec.Incarnation{ID: server.ID, StartedMillis: server.StartedMillis}) > 0 {
-			avoid.Add(server.ID)
+	coordinator.traffic.UpdateScheduler(func(scheduler *sched.Scheduler) {
+		for _, server := range servers {
+			if scheduler.Wait(clock.Now(), spec.Incarnation{ID: server.ID, StartedMillis: server.StartedMillis}) > 0 {
+				avoid.Add(server.ID)
+			}
 		}
-	}
+	})
 	demand.Avoid = avoid
+	demand.hostLimit = coordinator.ConnectionLimit(demand.Service.Name)
 	admission := Admission{}
 	for range maxTakeAttempts {
 		startedAt := clock.Now()
@@ -139,7 +145,7 @@
 	params := takeParams{
 		Service: key.service, Host: dispatchers.coordinator.settings.Host.Name, ID: dispatchers.lastID, Workspace: demand.Workspace, Digest: demand.Digest,
 		Class: demand.Class, Priority: demand.Priority, DueMS: demand.Due.Sub(now).Milliseconds(),
-		DeadlineMS: max(0, demand.Deadline.Sub(now).Milliseconds()), Avoid: value.Sorted(demand.Avoid), Others: dispatchers.others(key),
+		DeadlineMS: max(0, demand.Deadline.Sub(now).Milliseconds()), Avoid: value.Sorted(demand.Avoid), HostLimit: demand.hostLimit, Others: dispatchers.others(key),
 	}
 	if box := dispatchers.outboxes[key]; box != nil {
 		params.Ended, box.ended, box.due = box.ended, nil, false
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -49,6 +49,8 @@
 	DueMS      int64    `json:"due_ms"`
 	DeadlineMS int64    `json:"deadline_ms"`
 	Avoid      []string `json:"avoid,omitempty"`
+	// HostLimit is the number of requests that the host may send to one server at a time; 0 means no limit.
+	HostLimit int `json:"host_limit,omitempty"`
 	// Ended are requests that have ended, as in doneParams.
 	Ended []endParams `json:"ended,omitempty"`
 	// Others are the host's requests by server that this dispatcher has not assigned.
@@ -317,7 +319,7 @@
 	refusal, refused := queue.queue.Add(now, admit.Request{
 		Ticket: ticket, Workspace: params.Workspace, Digest: params.Digest, Class: params.Class, Priority: params.Priority,
 		Due: now.Add(time.Duration(params.DueMS) * time.Millisecond), Deadline: now.Add(time.Duration(params.DeadlineMS) * time.Millisecond),
-		Avoid: value.NewSet(params.Avoid...),
+		Avoid: value.NewSet(params.Avoid...), HostLimit: params.HostLimit,
 	})
 	decided := make(chan admit.Decision, 1)
 	if !refused {
--- a/io/serve/dispatch.go
+++ b/io/serve/dispatch.go
@@ -49,7 +49,8 @@
 		refusal = refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time")
 		return spec.Server{}, refusal.WithRetryAfter(admission.RetryAfter), true
 	case call.ctx.Err() != nil:
-		return spec.Server{}, call.expired(nil), true
+		// The host has waited until the end, since the dispatcher's refusal was late.
+		return spec.Server{}, call.expired(nil).WithRetryAfter(capacityRetryAfter), true
 	default:
 		return spec.Server{}, nil, false
 	}
