Give a silent dispatcher more time only once

Cause: a host whose checks are always late, for lack of processor time, would have waited for a frozen dispatcher without end. Change: the extension counts once until the dispatcher responds. Result: tests of io/coord, three times with the race detector.

--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -347,7 +347,7 @@
 		dispatchers.links[key.dispatcher] = link
 	}
 	if link.pending == 0 {
-		link.heardAt = now
+		link.heardAt, link.extended = now, false
 	}
 	link.pending++
 	if !link.watched {
@@ -368,7 +368,7 @@
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
 	if link := dispatchers.links[host]; link != nil {
-		link.heardAt = clock.Now()
+		link.heardAt, link.extended = clock.Now(), false
 	}
 }
 
@@ -409,8 +409,9 @@
 		link.watched = false
 		return 0, true
 	}
-	if late {
-		// This host had no processor time, so its responses may wait to be read.
+	if late && !link.extended {
+		// This host had no processor time, so responses may wait to be read. That counts only once, as it may go on.
+		link.extended = true
 		link.heardAt = latest(link.heardAt, now.Add(-dispatcherProbeAfter))
 	}
 	return now.Sub(link.heardAt), false
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -125,6 +125,8 @@
 	pending int
 	watched bool
 	heardAt time.Time
+	// extended is set once the dispatcher got more time, since it was last heard, because this host had no processor time.
+	extended bool
 	// lost is closed when the dispatcher has not responded in time.
 	lost chan struct{}
 }
