--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -19,8 +19,11 @@
 	methodPace  = "fleet.pace"
 	methodRead  = "fleet.read"
 	methodPause = "fleet.pause"
-	// methodDone reports the end of a request with a grant.
-	methodDone = "fleet.done"
+	// methodGrantEnd reports the end of a request with a grant.
+	methodGrantEnd = "fleet.done"
+	// methodTake asks the dispatcher of a plain service for a server, and methodDone reports the ends of requests.
+	methodTake = "dispatch.take"
+	methodDone = "dispatch.done"
 )
 
 // handle dispatches a call of a peer to the method's handler.
@@ -40,10 +43,16 @@
 		return respond(params, func(params paceParams) paceResult { return control.coordinator.traffic.pacers.handlePace(ctx, params) })
 	case methodRead:
 		return respond(params, control.coordinator.traffic.pacers.handleRead)
-	case methodDone:
-		return respond(params, control.coordinator.traffic.pacers.handleDone)
+	case methodGrantEnd:
+		return respond(params, control.coordinator.traffic.pacers.handleEnd)
 	case methodPause:
 		return respond(params, control.coordinator.traffic.pacers.handlePause)
+	case methodTake:
+		return respond(params, func(params takeParams) takeResult {
+			return control.coordinator.traffic.dispatchers.handleTake(ctx, params)
+		})
+	case methodDone:
+		return respond(params, control.coordinator.traffic.dispatchers.handleDone)
 	default:
 		if result, handled, err := control.coordinator.blocks.Handle(method, params); handled {
 			return result, err
--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -53,8 +53,8 @@
 	Usage *sched.Usage `json:"usage,omitempty"`
 }
 
-// doneParams reports that the request of a ticket has ended.
-type doneParams struct {
+// grantEndParams reports that the request of a ticket has ended.
+type grantEndParams struct {
 	Server        string `json:"server"`
 	StartedMillis int64  `json:"born"`
 	Ticket        int64  `json:"ticket"`
@@ -274,8 +274,8 @@
 	return true
 }
 
-// handleDone ends a request's grant. Its prompt counts as read.
-func (pacers *pacers) handleDone(params doneParams) bool {
+// handleEnd ends a request's grant. Its prompt counts as read.
+func (pacers *pacers) handleEnd(params grantEndParams) bool {
 	pacers.uses.end(spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}, params.Ticket)
 	pacers.update(params.Server, params.StartedMillis, func(_ time.Time, server *serverPacer) { server.pacer.Release(params.Ticket) })
 	return true
@@ -419,8 +419,8 @@
 		return
 	}
 	prompt.doneOnce.Do(func() {
-		params := doneParams{Server: prompt.server.ID, StartedMillis: prompt.server.StartedMillis, Ticket: prompt.ticket}
-		prompt.coordinator.tellPacer(prompt.address, methodDone, params, func(pacers *pacers) { pacers.handleDone(params) })
+		params := grantEndParams{Server: prompt.server.ID, StartedMillis: prompt.server.StartedMillis, Ticket: prompt.ticket}
+		prompt.coordinator.tellPacer(prompt.address, methodGrantEnd, params, func(pacers *pacers) { pacers.handleEnd(params) })
 	})
 }
 
--- a/io/coord/uses_test.go
+++ b/io/coord/uses_test.go
@@ -34,7 +34,7 @@
 	pacers.uses.locked(func() { grants.SetLoaded(nil) })
 	is.True(take().Missing)
 	is.Equal(grants.Running("a"), 1) // The request that was granted before still runs.
-	pacers.handleDone(doneParams{Server: "s", StartedMillis: 7, Ticket: result.Ticket})
+	pacers.handleEnd(grantEndParams{Server: "s", StartedMillis: 7, Ticket: result.Ticket})
 	is.Equal(grants.Active(), 0)
 
 	pacers.uses.stop(incarnation)
@@ -52,7 +52,7 @@
 	startedAt := time.Now()
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		pacers.handleDone(doneParams{Server: "s", Ticket: first.Ticket})
+		pacers.handleEnd(grantEndParams{Server: "s", Ticket: first.Ticket})
 	}()
 	pacers.handlePace(context.Background(), params)
 	is.True(time.Since(startedAt) < time.Second)
