Evacuation of a data centre, and a bound on requests to cold servers

Rows evacuate/ZONE of the operators' table mark the servers of a data centre in the view: nothing is sent to them any more by requests, retries, connection checks, loads, orders and reports. Whether a server may still be sent a request is checked again right before it is sent, also if it has not waited for pacing.

Services may declare the rate that a cold server tolerates. Each host has a share of it (core/warm), without messages. Hosts send nothing to cold servers until all others must know them, or while their copy of the hosts' rows is old.

--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -13,6 +13,9 @@
 
 const tagName = "ini"
 
+// optionalSuffix marks keys in tags whose empty values count as not set: a template that lacks a value leaves them empty.
+const optionalSuffix = ",optional"
+
 // Fault is one error in a declaration.
 type Fault struct {
 	file    string
@@ -108,18 +111,18 @@
 }
 
 // Decode stores the values of the section in the fields of the target struct whose ini tags match the keys. It returns
-// a fault for each malformed value and each unknown key.
+// a fault for each malformed value and each unknown key. If the tag ends in ",optional", an empty value counts as not set.
 func (section *Section) Decode(target any) []Fault {
 	var faults []Fault
 	fields := reflect.ValueOf(target).Elem()
 	known := map[string]bool{}
 	for index := range fields.NumField() {
-		tag := fields.Type().Field(index).Tag.Get(tagName)
+		tag, optional := strings.CutSuffix(fields.Type().Field(index).Tag.Get(tagName), optionalSuffix)
 		if tag == "" {
 			continue
 		}
 		known[tag] = true
-		if !section.body.HasKey(tag) {
+		if !section.body.HasKey(tag) || optional && section.body.Key(tag).String() == "" {
 			continue
 		}
 		if err := setField(fields.Field(index), section.body.Key(tag)); err != nil {
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -100,7 +100,10 @@
 	baseline := scheduler.baselineErrorRate(now, service.Name, servers)
 	for name, server := range servers {
 		state := scheduler.servers[name]
-		if state == nil || server.Service != service.Name || server.Draining || job.Avoid.Has(name) {
+		if state == nil || server.Service != service.Name || server.Draining || server.Evacuated || job.Avoid.Has(name) {
+			continue
+		}
+		if !scheduler.gate.Allows(now, service, server) {
 			continue
 		}
 		if scheduler.Wait(now, server.Incarnation()) > 0 {
@@ -129,14 +132,16 @@
 // expected returns the expected time to the first token, or a measure of the load for services that run no models.
 func (scheduler *Scheduler) expected(now time.Time, service spec.Service, server spec.Server, state *serverState, job Job) time.Duration {
 	usage := state.usage(now)
+	cold := scheduler.gate.Cold(now, service, server)
 	if service.Engine == nil {
 		load := usage.Running
 		if server.DataCentre != scheduler.dataCentre {
 			load += remotePenalty
 		}
+		load += int(math.Ceil(cold * coldSlots * float64(server.Slots)))
 		return time.Duration(load) * time.Millisecond * time.Duration(max(1, 100/max(1, server.Slots)))
 	}
-	expected := baseLatency + state.tokenTime*time.Duration(usage.Backlog+job.PromptTokens)
+	expected := baseLatency + state.tokenTime*time.Duration(usage.Backlog+job.PromptTokens) + time.Duration(cold*float64(coldPenalty))
 	slots := max(1, server.Slots)
 	if over := usage.Running + 1 - slots; over > 0 {
 		expected += overloadPenalty * time.Duration(over) / time.Duration(slots)
--- a/core/sched/notices.go
+++ b/core/sched/notices.go
@@ -29,7 +29,7 @@
 func (scheduler *Scheduler) PauseOf(now time.Time, service spec.Service, servers map[string]spec.Server) time.Duration {
 	var incarnations []spec.Incarnation
 	for _, server := range servers {
-		if server.Service == service.Name && !server.Draining {
+		if server.Service == service.Name && !server.Draining && !server.Evacuated {
 			incarnations = append(incarnations, server.Incarnation())
 		}
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,7 @@
 	"lentilproxy/core/notice"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
+	"lentilproxy/core/warm"
 )
 
 const (
@@ -38,6 +39,10 @@
 	preferredSlack = 80 * time.Millisecond
 	// remotePenalty is the number of running requests that is added to the load of servers in other data centres.
 	remotePenalty = 2
+	// coldPenalty is added to the expected latency of a server at the beginning of its cold time, and coldSlots is the fraction of
+	// the slots of a server without models that counts as in use then. Both decrease linearly until the end of the cold time.
+	coldPenalty = 300 * time.Millisecond
+	coldSlots   = 0.5
 	// maxEjections bounds the ejections that are kept until TakeEjections is called.
 	maxEjections = 256
 	// maxReplicatedEntries bounds the adapters whose last replication time is kept.
@@ -94,6 +99,8 @@
 	notices *notice.Board[spec.Incarnation]
 	// ejections collects the ejections since the last call of TakeEjections.
 	ejections []Ejection
+	// gate bounds the requests to cold servers.
+	gate *warm.Gate
 }
 
 // Ejection is the decision to avoid a server for a while because of its errors.
@@ -113,9 +120,22 @@
 	return taken
 }
 
+// Option configures a scheduler.
+type Option func(*Scheduler)
+
+// WithGate sets the gate that bounds the requests to cold servers.
+func WithGate(gate *warm.Gate) Option { return func(scheduler *Scheduler) { scheduler.gate = gate } }
+
 // New returns the scheduler of a host in a data centre.
-func New(dataCentre string) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation]()}
+func New(dataCentre string, options ...Option) *Scheduler {
+	scheduler := &Scheduler{
+		dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{},
+		notices: notice.New[spec.Incarnation](), gate: warm.New(""),
+	}
+	for _, option := range options {
+		option(scheduler)
+	}
+	return scheduler
 }
 
 // UpdateServers sets the registered servers. It drops the state of servers that were removed or restarted.
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -68,6 +68,10 @@
 	StopGrace time.Duration `ini:"stop_grace"`
 	// QuotaAllowance is the number of tokens by which a workspace may exceed its limit in a window, over all hosts.
 	QuotaAllowance float64 `ini:"quota_allowance"`
+	// ColdOverage and ColdAllowance bound the requests that all hosts send to one cold server in any second: the rate that its service
+	// tolerates times ColdOverage, plus ColdAllowance. They may be empty; ColdOverage 0 counts as 1.
+	ColdOverage   float64 `ini:"cold_overage,optional"`
+	ColdAllowance float64 `ini:"cold_allowance,optional"`
 }
 
 // Weights bounds the adapter loads from the weight store over the whole deployment.
@@ -235,7 +239,12 @@
 	for _, entry := range []struct {
 		key    string
 		number float64
-	}{{"retry_allowance", bounds.RetryAllowance}, {"quota_allowance", bounds.QuotaAllowance}} {
+	}{
+		{"retry_allowance", bounds.RetryAllowance},
+		{"quota_allowance", bounds.QuotaAllowance},
+		{"cold_overage", bounds.ColdOverage},
+		{"cold_allowance", bounds.ColdAllowance},
+	} {
 		if entry.number < 0 {
 			parser.report(section, entry.key, entry.key+" must not be negative")
 		}
--- a/core/spec/server.go
+++ b/core/spec/server.go
@@ -23,10 +23,16 @@
 	Models []LoadedModel
 	// Sequence is the number of orders that the server had accepted when it registered.
 	Sequence int64
+	// ColdRemaining is how much longer the server stays cold, as of its registration.
+	ColdRemaining time.Duration
+	// ColdUntil is the end of that time by the clock of the host that read the registration.
+	ColdUntil time.Time
+	// Evacuated reports whether the server's data centre is evacuated. The server then gets nothing.
+	Evacuated bool
 }
 
 // SameRegistration reports whether two entries are equal except for the number of accepted orders and the loaded
-// versions and adapters, for which the server's lease holder has newer values.
+// versions and adapters, for which the server's lease holder has newer values, and except for the cold time.
 func (server Server) SameRegistration(other Server) bool {
 	if len(server.Models) != len(other.Models) {
 		return false
@@ -37,6 +43,7 @@
 		}
 	}
 	server.Models, other.Models, server.Sequence, other.Sequence = nil, nil, 0, 0
+	server.ColdRemaining, other.ColdRemaining, server.ColdUntil, other.ColdUntil = 0, 0, time.Time{}, time.Time{}
 	return reflect.DeepEqual(server, other)
 }
 
@@ -85,15 +92,19 @@
 	Servers map[string]Server
 	// Versions maps adapters to their newest announced versions.
 	Versions map[AdapterRef]int64
+	// Evacuated maps the data centres that are evacuated to the times at which this host learned of it.
+	Evacuated map[string]time.Time
 }
 
-// Announcement is the content of a row of the operators' table: a configuration or the newest version of an adapter.
+// Announcement is the content of a row of the operators' table: a configuration, the newest version of an adapter, or an evacuation.
 type Announcement struct {
-	// Config is nil in announcements of adapter versions.
+	// Config is nil in other announcements.
 	Config *Config
 	Ref    AdapterRef
-	// Version is the adapter's version; 0 in announcements of configurations.
+	// Version is the adapter's version; 0 in other announcements.
 	Version int64
+	// Evacuated is the data centre that is evacuated as long as the row exists; empty in other announcements.
+	Evacuated string
 }
 
 // EmptyView returns the view of a host that has not read any row yet.
@@ -101,5 +112,22 @@
 	return &View{Config: NewConfig(Resources{}), Servers: map[string]Server{}, Versions: map[AdapterRef]int64{}}
 }
 
+// AllEvacuated reports whether a service has servers, all of which are in evacuated data centres.
+func (view *View) AllEvacuated(service string) bool {
+	if len(view.Evacuated) == 0 {
+		return false
+	}
+	evacuated := false
+	for _, server := range view.Servers {
+		if server.Service == service {
+			if !server.Evacuated {
+				return false
+			}
+			evacuated = true
+		}
+	}
+	return evacuated
+}
+
 // Ready reports whether the view has a configuration.
 func (view *View) Ready() bool { return view.Config.Version() > 0 }
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -109,6 +109,10 @@
 	ConnectionLimit int
 	// Engine is nil for services that run no models.
 	Engine *Engine
+	// ColdStart is the time for which a server that has started is cold, and ColdRate the number of requests per second that it
+	// tolerates meanwhile; 0 means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Workspace is a group of callers with common API keys, priority and rate limit.
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -75,7 +75,12 @@
 		if running == nil {
 			running = control.startController(now, server, service.Engine)
 		}
+		evacuated := server.Evacuated && !running.server.Evacuated
 		running.server = server
+		if evacuated {
+			// Requests that wait for an adapter of the server choose another one.
+			control.notifyChange(running)
+		}
 		control.updateVersions(running, view.Versions)
 		running.slots.SetGossipDelay(control.gossip.Period())
 	}
@@ -175,10 +180,12 @@
 // sendOrder sends an order if the lease is still in force right before its first byte is sent. The process may have been
 // paused since the decision, or while a connection was opened.
 func (coordinator *Coordinator) sendOrder(ctx context.Context, next step) (lentilproxy.OrderOutcome, error) {
-	permitted := func() bool { return clock.Now().UnixNano() < coordinator.leaseUntil.Load() }
+	permitted := func() bool {
+		return clock.Now().UnixNano() < coordinator.leaseUntil.Load() && !coordinator.evacuated(next.server)
+	}
 	outcome, err := coordinator.orders.Order(ctx, next.server, next.order, permitted)
 	if errors.Is(err, lentilproxy.ErrNotPermitted) {
-		coordinator.log.Info("order not sent", "server", next.server.ID, "reason", "the lease has ended")
+		coordinator.log.Info("order not sent", "server", next.server.ID, "reason", "the lease has ended or the data centre is evacuated")
 		return lentilproxy.OrderConflict, nil
 	}
 	return outcome, err
@@ -188,6 +195,9 @@
 	if control.controllers[controller.server.ID] != controller {
 		return step{wait: idlePollInterval}
 	}
+	if controller.server.Evacuated {
+		return step{wait: idlePollInterval}
+	}
 	if pause := control.coordinator.traffic.Wait(now, controller.server.Incarnation()); pause > 0 {
 		return step{wait: min(pause, idlePollInterval)}
 	}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -33,6 +33,7 @@
 	"lentilproxy/core/limit"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
 	"lentilproxy/io/block"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loop"
@@ -123,6 +124,10 @@
 	// lapsedUntil maps servers whose registrations expired during an outage of the store to the time until which they
 	// stay in use.
 	lapsedUntil map[string]time.Time
+	// evacuations maps keys of the operators' table to the data centres that their rows evacuate. unknownLogged holds those that have
+	// been logged since they have neither servers nor hosts.
+	evacuations   map[string]string
+	unknownLogged value.Set[string]
 	// storeRecoveredAt is the end of the last outage of the store that exceeded minOutage.
 	storeRecoveredAt time.Time
 	// membership decides this host's fraction of limits; members and isolated are its last results.
@@ -159,7 +164,7 @@
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, RunID: coordinator.runID,
 		}, settings.Bounds.LeaseGap),
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, pendingDemand: map[string]map[string]float64{}, decoded: map[string]decodedServer{}, decodedVersions: map[string]int64{},
-		lapsedUntil: map[string]time.Time{}, membership: limit.NewMembership(settings.Host.Name),
+		lapsedUntil: map[string]time.Time{}, evacuations: map[string]string{}, unknownLogged: value.NewSet[string](), membership: limit.NewMembership(settings.Host.Name),
 		gossip: gossip.New(settings.Host.Name, gossipInterval, maxExchanges), blockRows: blockRows,
 	}
 	coordinator.traffic.control = control
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -158,6 +158,7 @@
 		table.provenAt = provenAt
 		control.coordinator.operatorsProvenAt.Store(control.operators.provenAt.UnixNano())
 		control.coordinator.serversProvenAt.Store(control.servers.provenAt.UnixNano())
+		control.coordinator.traffic.proveHosts(control.fleet.provenAt)
 	}
 	switch {
 	case table == control.fleet:
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -144,6 +144,7 @@
 				control.startExchange(now, control.peers[name])
 			}
 			control.divideLimits(now)
+			control.reportEvacuations(now)
 			coordinator.traffic.exchangeLoans(now)
 			for _, ejection := range coordinator.traffic.takeEjections() {
 				coordinator.log.Info("server avoided for its errors", "server", ejection.Server, "for_ms", ejection.Duration.Milliseconds(),
--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -63,6 +63,7 @@
 		return
 	}
 	traffic.bounds = bounds
+	traffic.gate.SetBounds(bounds.ColdOverage, bounds.ColdAllowance)
 	clear(traffic.budgets)
 	traffic.configureLimits(now, traffic.coordinator.View())
 }
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -165,7 +165,7 @@
 // channel is closed after the next change. The first check of a request also registers it with the controller.
 func (control *control) checkLoad(now time.Time, params loadParams, first bool) (loadResult, chan struct{}) {
 	controller := control.controllers[params.Server]
-	if controller == nil || controller.server.StartedMillis != params.StartedMillis || controller.server.Draining {
+	if controller == nil || controller.server.StartedMillis != params.StartedMillis || controller.server.Draining || controller.server.Evacuated {
 		return loadResult{Outcome: LoadNoHolder}, nil
 	}
 	if _, holds := control.registry.FencingToken(now, params.Server); !holds {
--- a/io/coord/publish.go
+++ b/io/coord/publish.go
@@ -6,16 +6,18 @@
 
 	"lentilproxy"
 	"lentilproxy/core/spec"
+	"lentilproxy/io/clock"
 )
 
 // publish decodes the mirrors and replaces the view with the result.
 func (control *control) publish(now time.Time) {
 	coordinator := control.coordinator
 	last := coordinator.View()
-	next := &spec.View{Config: last.Config, Versions: last.Versions}
-	control.decodeOperators(next)
-	next.Servers = control.decodeServers(now, last)
+	next := &spec.View{Config: last.Config, Versions: last.Versions, Evacuated: last.Evacuated}
+	control.decodeOperators(now, next)
+	next.Servers = control.decodeServers(now, last, next.Evacuated)
 	control.logServers(last, next)
+	control.logEvacuations(now, last, next)
 	coordinator.view.Store(next)
 	coordinator.traffic.updateView(now, next)
 	control.updateControllers(now, next)
@@ -23,7 +25,7 @@
 
 // decodeOperators applies the rows of the operators' table that have changed. Decoding all of them would take long with
 // many adapters and routes.
-func (control *control) decodeOperators(next *spec.View) {
+func (control *control) decodeOperators(now time.Time, next *spec.View) {
 	coordinator := control.coordinator
 	if control.operators.Revision() == control.operatorsRevision {
 		return
@@ -53,12 +55,16 @@
 			next.Versions[announced.Ref] = announced.Version
 			coordinator.log.Info("adapter version announced", "adapter", announced.Ref.String(), "version", announced.Version)
 		}
+		if announced.Evacuated != "" {
+			control.evacuations[key] = announced.Evacuated
+		}
 	}
+	next.Evacuated = control.evacuated(now, next.Evacuated)
 }
 
 // decodeServers returns the servers that may get requests. Registrations that expired during an outage of the store are
 // kept for lapseGrace after it, since running servers register again.
-func (control *control) decodeServers(now time.Time, last *spec.View) map[string]spec.Server {
+func (control *control) decodeServers(now time.Time, last *spec.View, evacuated map[string]time.Time) map[string]spec.Server {
 	servers := map[string]spec.Server{}
 	grace := !control.storeRecoveredAt.IsZero() && now.Sub(control.storeRecoveredAt) < lapseGrace
 	for key, row := range control.servers.Rows() {
@@ -69,10 +75,14 @@
 			continue
 		}
 		delete(control.lapsedUntil, key)
-		if decoded := control.decodeServer(row); decoded.valid {
+		if decoded := control.decodeServer(now, row); decoded.valid {
 			servers[key] = decoded.server
 		}
 	}
+	for key, server := range servers {
+		_, server.Evacuated = evacuated[server.DataCentre]
+		servers[key] = server
+	}
 	maps.DeleteFunc(control.decoded, func(key string, _ decodedServer) bool {
 		row, found := control.servers.Rows()[key]
 		return !found || row.Deleted
@@ -88,7 +98,7 @@
 }
 
 // decodeServer returns the decoded registration of a row. Each version of a row is decoded once.
-func (control *control) decodeServer(row lentilproxy.Row) decodedServer {
+func (control *control) decodeServer(now time.Time, row lentilproxy.Row) decodedServer {
 	known, found := control.decoded[row.Key]
 	if found && known.version == row.Version {
 		return known
@@ -97,6 +107,9 @@
 	if err != nil {
 		control.coordinator.log.Error(err, "invalid registration of a backend server", "server", row.Key, "row_version", row.Version)
 	}
+	if server.ColdRemaining > 0 {
+		server.ColdUntil = now.Add(server.ColdRemaining)
+	}
 	decoded := decodedServer{version: row.Version, server: server, valid: err == nil}
 	control.decoded[row.Key] = decoded
 	return decoded
@@ -111,7 +124,7 @@
 		return true
 	}
 	server, err := control.coordinator.decoder.DecodeServer(row)
-	return err != nil || !known.server.SameRegistration(server)
+	return err != nil || !known.server.SameRegistration(server) || coldChanged(clock.Now(), known.server, server)
 }
 
 // keepLapsed reports whether a server whose registration has expired stays in use. This begins only during the grace
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -12,6 +12,7 @@
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
+	"lentilproxy/core/warm"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loans"
 )
@@ -32,6 +33,7 @@
 
 	mutex     sync.Mutex
 	scheduler *sched.Scheduler
+	gate      *warm.Gate
 	loans     *loans.Exchanger
 	budgets   map[string]*retry.Budget
 	// members is the number of hosts that share limits and budgets, and fraction this host's fraction of limits.
@@ -60,8 +62,10 @@
 }
 
 func newTraffic(coordinator *Coordinator) *Traffic {
+	gate := warm.New(coordinator.settings.Host.Name)
+	gate.SetBounds(coordinator.settings.Bounds.ColdOverage, coordinator.settings.Bounds.ColdAllowance)
 	traffic := &Traffic{
-		coordinator: coordinator, scheduler: sched.New(coordinator.settings.Host.DataCentre),
+		coordinator: coordinator, scheduler: sched.New(coordinator.settings.Host.DataCentre, sched.WithGate(gate)), gate: gate,
 		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
 		budgets:  map[string]*retry.Budget{},
 		loads:    map[loadKey]*pendingLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
@@ -79,6 +83,7 @@
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	traffic.scheduler.UpdateServers(view.Servers)
+	traffic.gate.Update(now, view.Servers)
 	traffic.configureLimits(now, view)
 	traffic.pacers.retain(view.Servers)
 }
@@ -96,6 +101,7 @@
 		}
 	}
 	traffic.lenders = known
+	traffic.gate.SetHosts(now, known.names)
 	pacerHosts := map[string]string{self: ""}
 	for name, address := range known.addresses {
 		pacerHosts[name] = address
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -33,6 +33,9 @@
 	// and minPaceWait the time for which any request may be.
 	maxPaceFraction = 0.5
 	minPaceWait     = 50 * time.Millisecond
+	// evacuatedRetryAfter is the time after which a caller should retry if all servers are in evacuated data centres. Evacuations
+	// last for seconds at least.
+	evacuatedRetryAfter = 2 * time.Second
 	// minRemaining is the least remaining time with which a request is still sent.
 	minRemaining = 5 * time.Millisecond
 	// maxBufferedBytes bounds a response that is read to its end before it is passed on.
@@ -152,6 +155,9 @@
 	now := clock.Now()
 	choice, found := call.service.coordinator.Traffic().Choose(now, call.target, call.view, call.job())
 	if !found {
+		if call.view.AllEvacuated(call.target.Name) {
+			return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers' data centres are evacuated").WithRetryAfter(evacuatedRetryAfter)
+		}
 		if pause := call.pause(now); pause > 0 {
 			return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers have asked for a pause").WithRetryAfter(pause)
 		}
@@ -275,15 +281,16 @@
 
 // mayStillSend reports whether the request may still be sent to a server that was chosen a while ago.
 func (call *call) mayStillSend(server spec.Server) bool {
-	if call.service.coordinator.Traffic().Wait(clock.Now(), server.Incarnation()) > 0 {
+	now, traffic := clock.Now(), call.service.coordinator.Traffic()
+	if traffic.Wait(now, server.Incarnation()) > 0 {
 		return false
 	}
-	if call.paceTime == 0 {
-		return true
-	}
 	call.view = call.service.coordinator.View()
 	current, found := call.view.Servers[server.ID]
-	return found && !current.Draining && current.Incarnation() == server.Incarnation() && call.ctx.Err() == nil
+	if !found || current.Draining || current.Evacuated || current.Incarnation() != server.Incarnation() || call.ctx.Err() != nil {
+		return false
+	}
+	return traffic.TakeCold(now, call.target, current)
 }
 
 // outgoing returns the request for a server. If lastEvent is not empty, the request resumes the stream after that
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -79,8 +79,8 @@
 
 // checkServer returns an error if a server has crashed.
 func (service *Service) checkServer(ctx context.Context, server spec.Server) error {
-	if current, found := service.coordinator.View().Servers[server.ID]; !found || current.Draining {
-		// A server that drains, or that has been removed, may end at any time.
+	if current, found := service.coordinator.View().Servers[server.ID]; !found || current.Draining || service.evacuated(server) {
+		// A server that drains, that has been removed, or whose data centre is evacuated, may end at any time.
 		return nil
 	}
 	if service.coordinator.Traffic().Wait(clock.Now(), server.Incarnation()) > 0 {
@@ -90,6 +90,12 @@
 	return service.connect(ctx, server)
 }
 
+// evacuated reports whether the data centre of a server is evacuated.
+func (service *Service) evacuated(server spec.Server) bool {
+	_, evacuated := service.coordinator.View().Evacuated[server.DataCentre]
+	return evacuated
+}
+
 // connect returns an error if a server accepts no connections.
 func (service *Service) connect(ctx context.Context, server spec.Server) error {
 	err := service.links.Open(ctx, server)
@@ -105,7 +111,7 @@
 func (service *Service) lookAtServer(ctx context.Context, server spec.Server, connect bool) block.ServerState {
 	current, found := service.coordinator.View().Servers[server.ID]
 	switch {
-	case server.Draining || found && current.Draining || service.coordinator.Traffic().Wait(clock.Now(), server.Incarnation()) > 0:
+	case server.Draining || found && current.Draining || service.evacuated(server) || service.coordinator.Traffic().Wait(clock.Now(), server.Incarnation()) > 0:
 		// It may end at any time.
 		return block.ServerSound
 	case found && current.Incarnation() != server.Incarnation():
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -129,6 +129,8 @@
 	Leaving bool
 	// Pause is how long the server wants no requests from this host; 0 if it does not say so.
 	Pause time.Duration
+	// Cold is how much longer the server stays cold; 0 if it does not say so.
+	Cold time.Duration
 }
 
 // OrderKind is the operation that an order requests.
