Soak: evacuations and servers that become cold

Each plan has one of each. Two checks: nothing reaches an evacuated data centre after 3 s, and cold servers get no more than their bound.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"lentilproxy/core/value"
 	"lentilproxy/platform/stub"
 )
 
@@ -20,6 +21,10 @@
 	// server no longer gets new requests.
 	configBound = 2 * time.Second
 	drainBound  = 2 * time.Second
+	// evacuationBound is the time within which nothing is sent to an evacuated data centre any more, and coldBound that within which
+	// all hosts know that a server has become cold.
+	evacuationBound = 3 * time.Second
+	coldBound       = 2 * time.Second
 	// rollbackSlack is how long a slow host may still accept a withdrawn key after it first refused it.
 	rollbackSlack = 2 * time.Second
 	// quotaWindow is the period over which used tokens are summed. The sum may exceed the limit by the share quotaOverage
@@ -108,7 +113,13 @@
 	declared  map[string]time.Time
 	withdrawn map[string]time.Time
 	drained   map[string]time.Time
-	endedAt   time.Time
+	// evacuated holds the servers in the data centre that was evacuated in the periods evacuations, and evacuatedOrders the orders that
+	// they received. colds are the periods in which servers were cold.
+	evacuated       value.Set[string]
+	evacuatedOrders []stub.Order
+	evacuations     []period
+	colds           []period
+	endedAt         time.Time
 }
 
 // kindsNotDelayingRows are the kinds of disturbance that do not delay a host's reads of the store's rows.
@@ -154,6 +165,8 @@
 		{"configuration never back", record.checkRollback},
 		{"limits", record.checkLimits},
 		{"draining", record.checkDrain},
+		{"evacuation", record.checkEvacuation},
+		{"cold servers", record.checkCold},
 		{"one giver of orders", record.checkOrders},
 		{"planned stops", record.checkStops},
 		{"recovery", record.checkRecovery},
@@ -344,6 +357,58 @@
 	}
 }
 
+// checkEvacuation finds requests and orders that reached servers of an evacuated data centre.
+func (record *record) checkEvacuation(report func(format string, args ...any)) {
+	late := func(host string, at time.Time) bool {
+		return slices.ContainsFunc(record.evacuations, func(evacuation period) bool {
+			return at.Sub(evacuation.from) > evacuationBound && at.Before(evacuation.until) &&
+				record.undisturbed(host, evacuation.from, at, kindsNotDelayingRows...)
+		})
+	}
+	for _, attempt := range record.attempts {
+		for _, arrival := range record.arrivals[attempt.id] {
+			if record.evacuated.Has(arrival.server) && late(attempt.host, arrival.At) {
+				report("%s received it at %s: %s", arrival.server, arrival.At.Format(clockFormat), attempt)
+			}
+		}
+	}
+	for _, order := range record.evacuatedOrders {
+		if late(order.Holder, order.At) {
+			report("%s sent an order for %s at %s", order.Holder, order.Adapter, order.At.Format(clockFormat))
+		}
+	}
+}
+
+// checkCold finds cold servers that received more requests within a second than their bound. It skips servers that became cold while
+// a disturbance may have kept a host from learning of it.
+func (record *record) checkCold(report func(format string, args ...any)) {
+	for _, cold := range record.colds {
+		from := cold.from.Add(coldBound)
+		if slices.ContainsFunc(record.disturbances, func(disturbance *disturbance) bool {
+			return !record.undisturbed(disturbance.host, cold.from, from, append([]Kind{KindStop, KindKill}, kindsNotDelayingRows...)...)
+		}) {
+			continue
+		}
+		var arrivals []time.Time
+		for _, attempt := range record.attempts {
+			for _, arrival := range record.arrivals[attempt.id] {
+				if arrival.server == cold.server && arrival.At.After(from) && arrival.At.Before(cold.until) {
+					arrivals = append(arrivals, arrival.At)
+				}
+			}
+		}
+		slices.SortFunc(arrivals, time.Time.Compare)
+		for first, last := 0, 0; last < len(arrivals); last++ {
+			for arrivals[last].Sub(arrivals[first]) >= time.Second {
+				first++
+			}
+			if count := last - first + 1; count > coldRate*coldOverage+coldAllowance {
+				report("%d requests to %s in the second before %s", count, cold.server, arrivals[last].Format(clockFormat))
+			}
+		}
+	}
+}
+
 // checkOrders finds servers that received orders from two hosts within leaseGap, orders of two hosts with the same
 // fencing token, or an order with an older fencing token than an earlier order. Orders that a pause may have delayed
 // are only checked for shared tokens.
--- a/io/soak/host.go
+++ b/io/soak/host.go
@@ -16,6 +16,9 @@
 const (
 	// quotaAllowance is the tolerated excess over limits in tokens.
 	quotaAllowance = 2000
+	// coldOverage and coldAllowance bound the requests to a cold server, beyond coldRate.
+	coldOverage   = 1.5
+	coldAllowance = 5
 	// stopWait is how long a process may take to end after SIGTERM: the grace period in the settings plus one second.
 	stopWait = 9 * time.Second
 	// keptLogLines is the minimum number of a process's last log lines that are kept.
@@ -58,7 +61,7 @@
 	}
 	content := fmt.Sprintf("[host]\nname = %s\ndata_centre = dc-1\n\n[listen]\ncallers = %s\nready = %s\npeers = %s\nadvertise_peers = %s\nmetrics = %s\n\n"+
 		"[platform]\nstore = %s\n\n[bounds]\nretry_ratio = 0.2\nretry_allowance = 60\nretry_window = 10s\nlease_gap = 3000ms\nstop_grace = 8s\n"+
-		"quota_allowance = %d\n", name, addresses[0], addresses[1], addresses[2], host.peerRelay.Address(), addresses[3], host.storeRelay.Address(), quotaAllowance)
+		"quota_allowance = %d\ncold_overage = %g\ncold_allowance = %d\n", name, addresses[0], addresses[1], addresses[2], host.peerRelay.Address(), addresses[3], host.storeRelay.Address(), quotaAllowance, coldOverage, coldAllowance)
 	return host, os.WriteFile(host.settingsPath, []byte(content), 0o600)
 }
 
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -32,10 +32,12 @@
 	KindManyConfigs Kind = "many_configs" // several configurations are written in quick succession
 	KindCrashPart   Kind = "crash_part"   // requests that share a prompt part crash the engines that run them
 	KindCopies      Kind = "copies"       // backend servers send responses twice, cut them off, and reject requests
+	KindEvacuate    Kind = "evacuate"     // the data centre of some backend servers is evacuated
+	KindColdReturn  Kind = "cold_return"  // a backend server without a model becomes cold
 )
 
 // kinds lists the kinds that a plan draws. It draws indexes, so their order is part of what a seed produces. Each plan
-// contains KindCrashPart and KindCopies once, so that they are not drawn.
+// contains the others once, so that they are not drawn.
 var kinds = []Kind{
 	KindStop, KindKill, KindPause, KindReload, KindStoreCut, KindStoreAway, KindStoreSlow, KindStoreLost, KindHistory, KindPeersCut, KindOneWay,
 	KindReset, KindDelay, KindCrash, KindDrain, KindErrors, KindKeyTaken, KindVersion, KindManyConfigs,
@@ -67,6 +69,8 @@
 	// disturbances of processes while it lasts, besides those that are drawn independently.
 	maxCopiesDuration  = 10 * time.Second
 	copiesDisturbances = 4
+	// maxEvacuation is the duration of KindEvacuate and KindColdReturn in runs that are long enough.
+	maxEvacuation = 8 * time.Second
 )
 
 // Plan returns the disturbances of a run of the given length, as determined by the seed. Disturbances may overlap,
@@ -87,6 +91,7 @@
 		}
 	}
 	events = append(append(events, crashPartEvent(seed, length)), copiesEvents(seed, length)...)
+	events = append(events, evacuationEvents(seed, length)...)
 	events = slices.DeleteFunc(events, func(event Event) bool { return event.At+event.Duration > length-2*quietPeriod })
 	slices.SortStableFunc(events, func(left, right Event) int { return int(left.At - right.At) })
 	return events
@@ -103,6 +108,20 @@
 	}
 }
 
+// evacuationEvents returns the events in which a data centre is evacuated, and in which a server becomes cold.
+func evacuationEvents(seed uint64, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	duration := min(maxEvacuation, length-3*quietPeriod-time.Second)
+	latest := length - 3*quietPeriod - duration
+	var events []Event
+	for _, kind := range []Kind{KindEvacuate, KindColdReturn} {
+		events = append(events, Event{
+			At: quietPeriod + time.Duration(random.Int64N(max(1, int64(latest)))), Duration: duration, Kind: kind, Target: random.IntN(1 << 16),
+		})
+	}
+	return events
+}
+
 // copiesEvents returns the event in which backend servers send responses twice, and events in which hosts are killed, paused and
 // stopped while it lasts.
 func copiesEvents(seed uint64, length time.Duration) []Event {
--- a/io/soak/platform.go
+++ b/io/soak/platform.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,11 @@
 	eventGap     = 20 * time.Millisecond
 	// adapterCapacity is the number of adapter slots of an engine.
 	adapterCapacity = 6
+	// evacuatedZone is the data centre that is evacuated. One of evacuatedEvery servers is there.
+	evacuatedZone  = "dc-2"
+	evacuatedEvery = 3
+	// coldRate is the number of requests per second that a cold server without a model tolerates.
+	coldRate = 10
 )
 
 // backend is a backend server with a relay in front of it. Its incarnation is replaced after a crash or a drain.
@@ -51,6 +57,13 @@
 	withdrawn string
 }
 
+// period is a period, and the server that it concerns, if it concerns one.
+type period struct {
+	server string
+	from   time.Time
+	until  time.Time
+}
+
 // platform is the stub platform of a run: the store, the backend servers and the operator.
 type platform struct {
 	store    *stub.Store
@@ -72,8 +85,11 @@
 	drained   map[string]time.Time
 	// keys are those that callers use besides stub.Key. Callers must not wait for the mutex, which is held for long while
 	// the servers register.
-	keys     atomic.Pointer[callerKeys]
-	keyCount int
+	keys atomic.Pointer[callerKeys]
+	// evacuations and colds are the periods in which evacuatedZone was evacuated, and in which servers were cold.
+	evacuations []period
+	colds       []period
+	keyCount    int
 	// stutter is shared by all servers.
 	stutter *stub.Stutter
 	// onCrash is called before a request crashes an incarnation of a backend server.
@@ -91,7 +107,7 @@
 	}
 	platform.server = &http.Server{Handler: platform.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = platform.server.Serve(listener) }()
-	platform.config.Rate, platform.config.AdapterCapacity = tokenRate, adapterCapacity
+	platform.config.Rate, platform.config.AdapterCapacity, platform.config.ColdRate = tokenRate, adapterCapacity, coldRate
 	platform.newKey()
 	for number := range engines + plain {
 		service := stub.ServiceChat
@@ -122,6 +138,9 @@
 func (platform *platform) replace(backend *backend) error {
 	incarnation := backend.incarnation + 1
 	options := []stub.ServerOption{stub.WithEvents(streamEvents, eventGap), stub.WithBodiesNamingRequests(), stub.WithStutter(platform.stutter)}
+	if backend.number%evacuatedEvery == 1 {
+		options = append(options, stub.WithDataCentre(evacuatedZone))
+	}
 	if backend.service == stub.ServiceChat {
 		options = append(options, stub.WithModel(stub.Model, adapterCapacity), stub.WithPromptTime(promptTime),
 			stub.WithOnCrash(func() { platform.onCrash(backend, incarnation) }))
@@ -212,6 +231,40 @@
 	return platform.replace(backend)
 }
 
+// evacuate evacuates evacuatedZone for a time.
+func (platform *platform) evacuate(duration time.Duration) {
+	stub.Evacuate(platform.store, evacuatedZone)
+	evacuation := period{from: time.Now()}
+	time.Sleep(duration)
+	evacuation.until = time.Now()
+	stub.EndEvacuation(platform.store, evacuatedZone)
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.evacuations = append(platform.evacuations, evacuation)
+}
+
+// coldReturn makes a server without a model cold for a time.
+func (platform *platform) coldReturn(event Event) {
+	platform.mutex.Lock()
+	plain := slices.DeleteFunc(slices.Clone(platform.backends), func(backend *backend) bool { return backend.service != stub.ServiceOrders })
+	platform.mutex.Unlock()
+	if len(plain) == 0 {
+		return
+	}
+	backend := platform.claim(plain[event.Target%len(plain)].number)
+	if backend == nil {
+		return
+	}
+	defer platform.release(backend)
+	backend.SetCold(event.Duration)
+	platform.setState(backend, "ready")
+	cold := period{server: backend.ID(), from: time.Now(), until: time.Now().Add(event.Duration)}
+	platform.mutex.Lock()
+	platform.colds = append(platform.colds, cold)
+	platform.mutex.Unlock()
+	time.Sleep(event.Duration)
+}
+
 // newKey declares a new extra key of the workspace and withdraws the previous one.
 func (platform *platform) newKey() {
 	platform.mutex.Lock()
@@ -301,6 +354,11 @@
 	case KindCopies:
 		stutter := runner.platform.stutter
 		runner.during(event, allHosts, func() { stutter.SetActive(true) }, func() { stutter.SetActive(false) })
+	case KindEvacuate:
+		// Neither an evacuation nor a cold server is recorded as a disturbance: no promise may be broken during it.
+		runner.platform.evacuate(event.Duration)
+	case KindColdReturn:
+		runner.platform.coldReturn(event)
 	case KindManyConfigs:
 		for range configBurst {
 			runner.platform.newKey()
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"lentilproxy/core/value"
 	"lentilproxy/platform/stub"
 )
 
@@ -262,17 +263,22 @@
 
 // collectObservations adds the observations of the backend servers and the operator to the record.
 func (runner *runner) collectObservations() {
-	runner.record.arrivals = map[string][]arrival{}
+	runner.record.arrivals, runner.record.evacuated = map[string][]arrival{}, value.NewSet[string]()
 	for _, server := range runner.platform.servers() {
 		for _, received := range server.Arrivals() {
 			runner.record.arrivals[received.ID] = append(runner.record.arrivals[received.ID], arrival{Arrival: received, server: server.ID()})
 		}
 		runner.record.orders = append(runner.record.orders, server.Orders())
+		if server.DataCentre() == evacuatedZone {
+			runner.record.evacuated.Add(server.ID())
+			runner.record.evacuatedOrders = append(runner.record.evacuatedOrders, server.Orders()...)
+		}
 		if server.CapacityExceeded() {
 			runner.addViolation("places", server.ID()+" was ordered to load more adapters than its capacity")
 		}
 	}
 	runner.record.declared, runner.record.withdrawn, runner.record.drained = runner.platform.declared, runner.platform.withdrawn, runner.platform.drained
+	runner.record.evacuations, runner.record.colds = runner.platform.evacuations, runner.platform.colds
 }
 
 // writeLogs writes the last log lines of every host and the list of disturbances to the folder.
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lentilproxy/core/value"
 	"lentilproxy/platform/stub"
 
 	"github.com/matryer/is"
@@ -158,6 +159,23 @@
 		"draining": func(record *record) {
 			record.arrivals["c"][0].server, record.attempts[2].body = "d", "answer of d to c"
 		},
+		"evacuation": func(record *record) {
+			record.evacuated, record.evacuations = value.NewSet("s"), []period{{from: at(14), until: at(19)}}
+		},
+		"evacuation/an order": func(record *record) {
+			record.evacuatedOrders, record.evacuations = record.orders[0], []period{{from: at(1.5), until: at(6)}}
+		},
+		"/a request right after the beginning of an evacuation": func(record *record) {
+			record.evacuated, record.evacuations = value.NewSet("s"), []period{{from: at(16), until: at(19)}}
+		},
+		"cold servers": func(record *record) {
+			record.colds = []period{{server: "s", from: at(10), until: at(19)}}
+			for number := range 21 {
+				id, second := fmt.Sprint("cold", number), 16+float64(number)/25
+				record.attempts = append(record.attempts, &attempt{id: id, host: "h1", path: stub.StockPath, key: stub.Key, sentAt: at(second), endedAt: at(second), status: http.StatusOK, signed: true, body: "answer of s to " + id})
+				record.arrivals[id] = []arrival{ran(id, second)}
+			}
+		},
 		"one giver of orders": func(record *record) {
 			record.orders[0][1].At = at(2)
 		},
