--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -383,21 +383,13 @@
 // a disturbance may have kept a host from learning of it.
 func (record *record) checkCold(report func(format string, args ...any)) {
 	for _, cold := range record.colds {
-		from := cold.from.Add(coldBound)
+		cold.from = cold.from.Add(coldBound)
 		if slices.ContainsFunc(record.disturbances, func(disturbance *disturbance) bool {
-			return !record.undisturbed(disturbance.host, cold.from, from, append([]Kind{KindStop, KindKill}, kindsNotDelayingRows...)...)
+			return !record.undisturbed(disturbance.host, cold.from.Add(-coldBound), cold.from, append([]Kind{KindStop, KindKill}, kindsNotDelayingRows...)...)
 		}) {
 			continue
 		}
-		var arrivals []time.Time
-		for _, attempt := range record.attempts {
-			for _, arrival := range record.arrivals[attempt.id] {
-				if arrival.server == cold.server && arrival.At.After(from) && arrival.At.Before(cold.until) {
-					arrivals = append(arrivals, arrival.At)
-				}
-			}
-		}
-		slices.SortFunc(arrivals, time.Time.Compare)
+		arrivals := record.arrivalsIn(cold)
 		for first, last := 0, 0; last < len(arrivals); last++ {
 			for arrivals[last].Sub(arrivals[first]) >= time.Second {
 				first++
@@ -409,6 +401,20 @@
 	}
 }
 
+// arrivalsIn returns the times at which requests reached the server of a period within it.
+func (record *record) arrivalsIn(period period) []time.Time {
+	var arrivals []time.Time
+	for _, attempt := range record.attempts {
+		for _, arrival := range record.arrivals[attempt.id] {
+			if arrival.server == period.server && arrival.At.After(period.from) && arrival.At.Before(period.until) {
+				arrivals = append(arrivals, arrival.At)
+			}
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	return arrivals
+}
+
 // checkOrders finds servers that received orders from two hosts within leaseGap, orders of two hosts with the same
 // fencing token, or an order with an older fencing token than an earlier order. Orders that a pause may have delayed
 // are only checked for shared tokens.
--- a/io/soak/platform.go
+++ b/io/soak/platform.go
@@ -265,6 +265,25 @@
 	time.Sleep(event.Duration)
 }
 
+// change carries out an event that is not recorded as a disturbance: no promise may be broken during it.
+func (platform *platform) change(event Event) {
+	switch event.Kind {
+	case KindKeyTaken:
+		platform.newKey()
+	case KindVersion:
+		platform.announce(adapterName(event.Target % adapterCount))
+	case KindEvacuate:
+		platform.evacuate(event.Duration)
+	case KindColdReturn:
+		platform.coldReturn(event)
+	default:
+		for range configBurst {
+			platform.newKey()
+			time.Sleep(configGap)
+		}
+	}
+}
+
 // newKey declares a new extra key of the workspace and withdraws the previous one.
 func (platform *platform) newKey() {
 	platform.mutex.Lock()
@@ -345,25 +364,13 @@
 		runner.disturbStore(event, stub.StoreFaults{LoseResponses: true})
 	case KindHistory:
 		runner.during(event, allHosts, runner.platform.store.DropHistory, func() {})
-	case KindKeyTaken:
-		runner.platform.newKey()
-	case KindVersion:
-		runner.platform.announce(adapterName(event.Target % adapterCount))
 	case KindCrashPart:
 		runner.sendCrashingRequests(event)
 	case KindCopies:
 		stutter := runner.platform.stutter
 		runner.during(event, allHosts, func() { stutter.SetActive(true) }, func() { stutter.SetActive(false) })
-	case KindEvacuate:
-		// Neither an evacuation nor a cold server is recorded as a disturbance: no promise may be broken during it.
-		runner.platform.evacuate(event.Duration)
-	case KindColdReturn:
-		runner.platform.coldReturn(event)
-	case KindManyConfigs:
-		for range configBurst {
-			runner.platform.newKey()
-			time.Sleep(configGap)
-		}
+	default:
+		runner.platform.change(event)
 	}
 }
 
