--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -93,7 +93,7 @@
 		}
 		dispatchers.waits.RecordDuration(clock.Now().Sub(startedAt))
 		server, found := coordinator.View().Servers[admission.Server.ID]
-		if found && !server.Draining && server.StartedMillis == admission.Server.StartedMillis {
+		if found && !server.Draining && !server.Evacuated && server.StartedMillis == admission.Server.StartedMillis {
 			admission.Server = server
 			return admission
 		}
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		servers := services[server.Service]
-		if !server.Draining {
+		if !server.Draining && !server.Evacuated {
 			servers = append(servers, admit.Server{ID: id, StartedMillis: server.StartedMillis, Slots: server.Slots})
 		}
 		services[server.Service] = servers
