Calls to the store are counted by purpose

The price of a deployment depends on the number of calls to the store, and the one counter did not show which of them make it.

--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -27,6 +27,11 @@
 	}
 }
 
+// commit commits a transaction, which is counted under a purpose.
+func (coordinator *Coordinator) commit(ctx context.Context, purpose lentilproxy.StorePurpose, transaction lentilproxy.Transaction) (lentilproxy.CommitResult, error) {
+	return coordinator.store.Commit(lentilproxy.WithStorePurpose(ctx, purpose), transaction)
+}
+
 // renewLease renews the host's lease and claims servers. It reports whether all of it succeeded.
 func (control *control) renewLease() bool {
 	coordinator := control.coordinator
@@ -41,7 +46,7 @@
 		return false
 	}
 	sentAt := clock.Now()
-	result, err := coordinator.store.Commit(coordinator.ctx, renewal)
+	result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeRenewal, renewal)
 	coordinator.do(func(now time.Time) { control.applyRenewal(sentAt, now, result, err) })
 	if err != nil || !result.Committed {
 		return false
@@ -121,28 +126,28 @@
 		return false
 	}
 	if needExpulsion {
-		result, err := coordinator.store.Commit(coordinator.ctx, expulsion)
+		result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeExpulsion, expulsion)
 		coordinator.log.Info("host expelled", "host", expelled, "committed", result.Committed, "failed", err != nil)
 	}
 	if needFormerCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, formerCleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, formerCleanup); err != nil {
 			coordinator.log.Info("failed to delete the rows of former hosts", "error", err.Error())
 		}
 	}
 	if needBlockCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, blockCleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, blockCleanup); err != nil {
 			coordinator.log.Info("failed to delete the row of a block that has ended", "error", err.Error())
 		}
 	}
 	if needCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, cleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, cleanup); err != nil {
 			coordinator.log.Info("failed to delete the rows of deregistered servers", "error", err.Error())
 		}
 	}
 	if !needClaims {
 		return true
 	}
-	result, err := coordinator.store.Commit(coordinator.ctx, claims.Transaction)
+	result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeClaim, claims.Transaction)
 	if err != nil || !result.Committed {
 		// The next scan shows which hosts hold them.
 		coordinator.metrics.Counter("claims_failed").Inc(1)
@@ -201,7 +206,7 @@
 	}) || !held {
 		return
 	}
-	if _, err := coordinator.store.Commit(ctx, release); err != nil {
+	if _, err := coordinator.commit(ctx, lentilproxy.PurposeRelease, release); err != nil {
 		coordinator.log.Info("failed to release servers; other hosts claim them after the lease has ended", "error", err.Error())
 	}
 }
