A host that stops releases the servers of its earlier run

A host that had restarted and stopped before it claimed its servers again deleted its row and left these servers unreleased. The release now names them, under the condition that their rows are unchanged.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -432,12 +432,25 @@
 	}
 	ownKey := Table + "/" + prefixHost + registry.self.Name
 	transaction := lentilproxy.Transaction{Conditions: []lentilproxy.Condition{{Key: ownKey, Version: registry.version}}}
-	held := registry.HeldServers()
-	if released := maxEntries - 2; len(held) <= released {
+	held, allNamed := registry.HeldServers(), true
+	for _, server := range value.Sorted(registry.holders) {
+		observed := registry.holders[server]
+		if _, own := registry.claims[server]; own || observed.row.Host != registry.self.Name || observed.row.Released {
+			continue
+		}
+		if allNamed = len(transaction.Conditions) < maxClaims; !allNamed {
+			break
+		}
+		// An earlier run of this host held the server and may have given orders until recently. Without the host's row, another host
+		// would claim an unreleased server at once.
+		transaction.Conditions = append(transaction.Conditions, lentilproxy.Condition{Key: Table + "/" + prefixHolder + server, Version: observed.version})
+		held = append(held, server)
+	}
+	if released := maxEntries - 1 - len(transaction.Conditions); allNamed && len(held) <= released {
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{Key: ownKey, Delete: true})
 	} else {
 		// The host's row stays, so that other hosts claim the remaining servers only after its lease has ended.
-		held = held[:released]
+		held = held[:min(len(held), released)]
 	}
 	for _, server := range held {
 		transaction.Writes = append(transaction.Writes, lentilproxy.Write{
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -275,3 +275,26 @@
 	_, found = first.registry.FormerCleanup()
 	is.True(!found)
 }
+
+// Guards against a host that stops soon after a restart, before it has claimed the servers of its earlier run again: if it deletes its
+// row and leaves these unreleased, another host claims them at once, within the gap after the earlier run's last order.
+func TestServersOfAnEarlierRunAreReleased(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	servers := []string{"s1", "s2"}
+	first, second := newHost("a"), newHost("b")
+	now := runCycles(start, 6*time.Second, store, servers, first)
+	is.Equal(len(first.registry.HeldServers()), 2)
+	first.restart()
+	first.cycle(now, store, nil, false) // It joins and claims nothing yet.
+	release, held := first.registry.Release()
+	is.True(held)
+	is.True(store.commit(release).Committed)
+	second.registry.joinedAt = start // It has joined long ago.
+	for at := time.Duration(0); at < Gap; at += 500 * time.Millisecond {
+		second.cycle(now.Add(at), store, servers, false)
+		is.Equal(len(second.registry.HeldServers()), 0)
+	}
+	runCycles(now.Add(Gap), 8*time.Second, store, servers, second)
+	is.Equal(len(second.registry.HeldServers()), 2)
+}
