One host writes the renewals of several hosts

With more than 12 hosts, one host for each 16 now writes the renewals of the others with its own, in transactions of up to 50 (core/lease, batch.go; io/coord, renew.go). Each renewal is under the condition that its row has the version that its host knows. A lease counts from when its host asked. A host without a confirmation within 1 s renews by itself and does not ask that writer for 10 s; a host that was expelled gets the conflicting row, and the other renewals are written without it.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -131,7 +131,10 @@
 	members    int
 	isolated   bool
 	modelLoads modelLoadLimiter
-	blockRows  *block.Rows
+	renewals   *renewals
+	// avoidedWriters maps hosts that have not written a renewal to the time until which they are not asked to.
+	avoidedWriters map[string]time.Time
+	blockRows      *block.Rows
 }
 
 // New starts a coordinator that serves its peers on a listener.
@@ -162,6 +165,7 @@
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, pendingDemand: map[string]map[string]float64{}, decoded: map[string]decodedServer{}, decodedVersions: map[string]int64{},
 		lapsedUntil: map[string]time.Time{}, membership: limit.NewMembership(settings.Host.Name),
 		gossip: gossip.New(settings.Host.Name, gossipInterval, maxExchanges), blockRows: blockRows,
+		renewals: newRenewals(coordinator), avoidedWriters: map[string]time.Time{},
 	}
 	control.servers = newTableMirror(servers, serversReadAge, rowsPullInterval, mirror.WithContent(control.registrationHash))
 	coordinator.traffic.control = control
@@ -240,6 +244,7 @@
 
 // Stop releases the servers that the host holds and ends the coordinator.
 func (coordinator *Coordinator) Stop(ctx context.Context) {
+	coordinator.traffic.control.renewals.stop()
 	coordinator.traffic.control.releaseServers(ctx)
 	coordinator.Kill()
 }
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -17,11 +17,11 @@
 	coordinator := control.coordinator
 	for coordinator.ctx.Err() == nil {
 		startedAt := clock.Now()
-		wait := lease.RenewInterval
-		if !control.renewLease() {
-			wait = renewRetryDelay
+		due, renewed := control.renewLease(startedAt)
+		if !renewed {
+			due = startedAt.Add(renewRetryDelay)
 		}
-		if remaining := wait - clock.Now().Sub(startedAt); remaining > 0 && !coordinator.pause(remaining) {
+		if remaining := due.Sub(clock.Now()); remaining > 0 && !coordinator.pause(remaining) {
 			return
 		}
 	}
@@ -32,26 +32,29 @@
 	return coordinator.store.Commit(lentilproxy.WithStorePurpose(ctx, purpose), transaction)
 }
 
-// renewLease renews the host's lease and claims servers. It reports whether all of it succeeded.
-func (control *control) renewLease() bool {
+// renewLease renews the host's lease and claims servers. It returns when the next renewal is due, and reports whether all of it
+// succeeded.
+func (control *control) renewLease(startedAt time.Time) (due time.Time, renewed bool) {
 	coordinator := control.coordinator
 	joined := false
 	coordinator.do(func(time.Time) { joined = control.registry.Joined() })
 	if !joined && !control.scanFleet() {
 		// A host must have read the rows of the other hosts before it joins.
-		return false
+		return time.Time{}, false
 	}
-	var renewal lentilproxy.Transaction
-	if !coordinator.do(func(time.Time) { renewal = control.registry.Renewal() }) {
-		return false
+	sentAt, result, wait, err := control.renew()
+	if coordinator.ctx.Err() != nil {
+		return time.Time{}, false
+	}
+	due = startedAt.Add(wait)
+	if wait < lease.RenewInterval {
+		due = clock.Now().Add(wait) // The wait counts from the response of the writer.
 	}
-	sentAt := clock.Now()
-	result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeRenewal, renewal)
 	coordinator.do(func(now time.Time) { control.applyRenewal(sentAt, now, result, err) })
 	if err != nil || !result.Committed {
-		return false
+		return time.Time{}, false
 	}
-	return control.expelAndClaim()
+	return due, control.expelAndClaim()
 }
 
 func (control *control) applyRenewal(sentAt, now time.Time, result lentilproxy.CommitResult, err error) {
--- a/io/coord/methods.go
+++ b/io/coord/methods.go
@@ -15,6 +15,8 @@
 	methodGossip = "fleet.digest"
 	methodRows   = "fleet.rows"
 	methodLoad   = "fleet.load"
+	// methodRenew asks another host to write a renewal of the caller's lease.
+	methodRenew = "fleet.renew"
 	// methodPace asks when a prompt may be sent; methodRead and methodPause report the end of its read and a pause.
 	methodPace  = "fleet.pace"
 	methodRead  = "fleet.read"
@@ -34,6 +36,8 @@
 		return respond(params, control.coordinator.traffic.loans.Lend)
 	case loans.MethodReturn:
 		return respond(params, control.coordinator.traffic.loans.AcceptReturns)
+	case methodRenew:
+		return respond(params, func(params renewParams) renewResult { return control.renewals.handle(ctx, params) })
 	case methodPace:
 		return respond(params, func(params paceParams) paceResult { return control.coordinator.traffic.pacers.handlePace(ctx, params) })
 	case methodRead:
--- a/io/coord/store_test.go
+++ b/io/coord/store_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/lease"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 
@@ -224,3 +226,56 @@
 	}
 	is.True(rate < 0.6)
 }
+
+// leased reports whether a host's lease is in force.
+func leased(coordinator *Coordinator) bool {
+	held := false
+	coordinator.do(func(now time.Time) { held = coordinator.traffic.control.registry.Leased(now) })
+	return held
+}
+
+// Guards against hosts that lose their leases when the host that writes their renewals stops responding, against a writer whose
+// transaction fails as a whole since one of its hosts was expelled, and against expelled hosts that do not find out.
+func TestHostsKeepTheirLeasesWithoutTheirWriter(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes 20 s")
+	}
+	is := is.New(t)
+	const hosts = 14
+	store := newCountingStore()
+	coordinators := startHosts(t, store, hosts)
+	time.Sleep(5 * time.Second)
+	var names []string
+	for _, coordinator := range coordinators {
+		is.True(leased(coordinator))
+		names = append(names, coordinator.settings.Host.Name)
+	}
+	writer := slices.Index(names, lease.Writer(names[0], names))
+	expelled := (writer + 1) % hosts
+
+	store.mutex.Lock()
+	before := store.rows["fleet/host:"+names[expelled]].Version
+	store.write(lentilproxy.Write{Key: "fleet/host:" + names[expelled], Delete: true})
+	store.mutex.Unlock()
+	lost, joined := false, false
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && !joined; time.Sleep(5 * time.Millisecond) {
+		lost = lost || !leased(coordinators[expelled])
+		store.mutex.Lock()
+		joined = store.rows["fleet/host:"+names[expelled]].Version > before
+		store.mutex.Unlock()
+	}
+	is.True(lost)
+	is.True(joined)
+
+	// The writer freezes: it accepts renewals and never writes them.
+	coordinators[writer].traffic.control.renewals.mutex.Lock()
+	defer coordinators[writer].traffic.control.renewals.mutex.Unlock()
+	for end := time.Now().Add(9 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for number, coordinator := range coordinators {
+			if number != writer && number != expelled {
+				is.True(leased(coordinator))
+			}
+		}
+	}
+	is.True(!leased(coordinators[writer]))
+}
