Proofs in messages are shorter

Proofs by digest added some 330 bytes to a call and 225 to its response. The fields that repeat those of earlier versions are gone, the digest is in base 36, and peers that have sent digests get no versions. The proof of the fleet table has a name that earlier versions ignore. The tests of io/coord pass.

--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -35,8 +35,8 @@
 	// NewestVersions maps tables to the versions up to which the host's mirrors are complete. A response contains proofs
 	// instead.
 	NewestVersions map[string]int64 `json:"newest,omitempty"`
-	// Contents maps tables to what the host's mirrors were proven to contain, without the age.
-	Contents map[string]proof `json:"contents,omitempty"`
+	// Contents maps tables to what the host's mirrors were proven to contain. Peers that have sent such ones get no NewestVersions.
+	Contents map[string]contentVersion `json:"contents,omitempty"`
 	// Usage maps servers to the load that the host's requests put on them.
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
 	// Demand counts the requests for adapters on servers that the receiver holds. Each request is counted in one
@@ -70,6 +70,8 @@
 	ackedRevisions map[string]int64
 	messageCount   int
 	unreachable    bool
+	// sendsContents is set once a message of the peer had Contents.
+	sendsContents bool
 	// receivedID is the ID of the last message from the peer.
 	receivedID int64
 	// lastResponse is the last message sent to the peer in a response, until the peer reports whether it was received.
@@ -232,11 +234,10 @@
 	peer.calling = true
 	control.gossip.RecordCall(now, peer.name)
 	message, revisions := control.composeMessage(now, peer)
-	message.NewestVersions, message.Contents = map[string]int64{}, map[string]proof{}
+	message.NewestVersions, message.Contents = map[string]int64{}, map[string]contentVersion{}
 	for _, table := range control.tables() {
-		content := table.Proof()
-		message.Contents[table.name] = proof{AgeMS: -1, AsOf: content.AsOf, CompleteTo: content.CompleteTo, Digest: content.Digest, ProvenMS: -1}
-		if table != control.fleet {
+		message.Contents[control.proofName(table)] = table.contentVersion()
+		if table != control.fleet && !peer.sendsContents {
 			message.NewestVersions[table.name] = table.CompleteTo()
 		}
 	}
@@ -308,6 +309,7 @@
 		return result
 	}
 	control.gossip.RecordReceived(now, peer.name)
+	peer.sendsContents = len(message.Contents) > 0
 	control.compareVersions(now, peer, message.NewestVersions, message.Contents)
 	var revisions map[string]int64
 	result.Message, revisions = control.composeMessage(now, peer)
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/lease"
 	"lentilproxy/core/mirror"
 	"lentilproxy/io/clock"
 )
@@ -16,36 +18,66 @@
 	fleetPullInterval = 600 * time.Millisecond
 )
 
-// proof states that the sender's mirror of a table was complete some time ago.
+// fleetContent is the name under which messages contain proofs of the fleet table. Hosts before version 0.3 need every renewal in that
+// table and ignore this name, so that they get no proofs of it and read it themselves.
+const fleetContent = lease.Table + ".content"
+
+// digestBase is the base of digests in messages.
+const digestBase = 36
+
+// proof states that the sender's mirror of a table was complete some time ago. Newest is the version up to which it has all relevant
+// changes.
 type proof struct {
-	// Newest and AgeMS are for hosts before version 0.3, which accept a proof if they have all changes up to Newest. They need every
-	// renewal in the fleet table, so there is no such proof for it.
 	Newest int64 `json:"newest"`
-	AgeMS  int64 `json:"age_ms"`
-	// AsOf, CompleteTo and Digest are what the mirror was proven to contain, ProvenMS ago; AsOf is 0 if they are missing. ProvenMS is
-	// -1 if the age is unknown.
-	AsOf       int64  `json:"as_of,omitempty"`
-	CompleteTo int64  `json:"complete_to,omitempty"`
-	Digest     uint64 `json:"digest,omitempty"`
-	ProvenMS   int64  `json:"proven_ms,omitempty"`
+	// AgeMS is the age of the proof, or -1 if there is none.
+	AgeMS int64 `json:"age_ms"`
+	contentVersion
+}
+
+// contentVersion is what a mirror was proven to contain. Both fields are missing in messages of hosts before version 0.3, whose proofs
+// hold if the receiver has all changes up to Newest.
+type contentVersion struct {
+	AsOf   int64  `json:"as_of,omitempty"`
+	Digest string `json:"digest,omitempty"`
 }
 
-// content returns what the sender's mirror was proven to contain.
-func (proof proof) content() mirror.Proof {
-	return mirror.Proof{AsOf: proof.AsOf, CompleteTo: proof.CompleteTo, Digest: proof.Digest}
+func (table *tableMirror) contentVersion() contentVersion {
+	content := table.Proof()
+	return contentVersion{AsOf: content.AsOf, Digest: strconv.FormatUint(content.Digest, digestBase)}
+}
+
+// content returns what the sender's mirror was proven to contain. It reports false if the sender does not say so.
+func (proof proof) content() (mirror.Proof, bool) {
+	digest, err := strconv.ParseUint(proof.Digest, digestBase, 64)
+	return mirror.Proof{AsOf: proof.AsOf, CompleteTo: proof.Newest, Digest: digest}, proof.AsOf > 0 && err == nil
 }
 
 // provenAt returns the time as of which the sender's mirror was proven, or zero if it is unknown. The proof was requested at
 // requestedAt, so that a delayed proof is older than it says.
 func (proof proof) provenAt(requestedAt time.Time) time.Time {
-	age := proof.AgeMS
-	if proof.AsOf > 0 {
-		age = proof.ProvenMS
-	}
-	if age < 0 {
+	if proof.AgeMS < 0 {
 		return time.Time{}
 	}
-	return requestedAt.Add(-time.Duration(age) * time.Millisecond)
+	return requestedAt.Add(-time.Duration(proof.AgeMS) * time.Millisecond)
+}
+
+// proofOf returns the proof of a table among those of a peer.
+func (control *control) proofOf(proofs map[string]proof, table *tableMirror) (proof, bool) {
+	if table == control.fleet {
+		if known, found := proofs[fleetContent]; found {
+			return known, true
+		}
+	}
+	known, found := proofs[table.name]
+	return known, found
+}
+
+// proofName returns the name under which messages contain proofs of a table.
+func (control *control) proofName(table *tableMirror) string {
+	if table == control.fleet {
+		return fleetContent
+	}
+	return table.name
 }
 
 type rowsParams struct {
@@ -65,15 +97,15 @@
 func (control *control) compareProofs(now, requestedAt time.Time, peer *peerState, proofs map[string]proof) {
 	params := rowsParams{After: map[string]int64{}}
 	for _, table := range control.tables() {
-		known, found := proofs[table.name]
+		known, found := control.proofOf(proofs, table)
 		if !found {
 			continue
 		}
 		provenAt := known.provenAt(requestedAt)
 		lacks, proven := known.Newest > table.CompleteTo(), known.Newest <= table.CompleteTo()
-		if known.AsOf > 0 {
-			lacks = table.Lacks(known.content())
-			proven = !lacks && !provenAt.IsZero() && table.Confirm(known.content())
+		if content, stated := known.content(); stated {
+			lacks = table.Lacks(content)
+			proven = !lacks && !provenAt.IsZero() && table.Confirm(content)
 		}
 		switch {
 		case lacks:
@@ -91,15 +123,14 @@
 }
 
 // compareVersions requests rows from a peer if the peer has newer ones.
-func (control *control) compareVersions(now time.Time, peer *peerState, newest map[string]int64, contents map[string]proof) {
+func (control *control) compareVersions(now time.Time, peer *peerState, newest map[string]int64, contents map[string]contentVersion) {
 	proofs := map[string]proof{}
 	// A message proves nothing about the age of a mirror, since it may have been in transit for long.
 	for table, version := range newest {
 		proofs[table] = proof{Newest: version, AgeMS: -1}
 	}
 	for table, content := range contents {
-		content.ProvenMS = -1
-		proofs[table] = content
+		proofs[table] = proof{AgeMS: -1, contentVersion: content}
 	}
 	control.compareProofs(now, time.Time{}, peer, proofs)
 }
@@ -126,13 +157,14 @@
 			if !requested {
 				continue
 			}
-			changed, whole, proven := result.merge(table, rows)
+			known, _ := control.proofOf(result.Proofs, table)
+			changed, whole, proven := result.merge(table, rows, known)
 			if changed && table.name != control.fleet.name {
 				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.CompleteTo())
 			}
 			provenAt := table.provenAt
 			if proven {
-				provenAt = result.Proofs[table.name].provenAt(requestedAt)
+				provenAt = known.provenAt(requestedAt)
 			}
 			control.applyProof(now, provenAt, table, changed)
 		}
@@ -141,14 +173,13 @@
 
 // merge applies rows of a table, which may be all of them. It reports whether a row of the mirror changed, and whether the proof of
 // the peer holds for the mirror.
-func (result rowsResult) merge(table *tableMirror, rows []lentilproxy.Row) (changed, whole, proven bool) {
+func (result rowsResult) merge(table *tableMirror, rows []lentilproxy.Row, known proof) (changed, whole, proven bool) {
 	version, whole := result.Whole[table.name]
-	known := result.Proofs[table.name]
-	if known.AsOf > 0 {
+	if content, stated := known.content(); stated {
 		if !whole {
-			version = known.CompleteTo
+			version = known.Newest
 		}
-		changed, proven = table.MergeProven(lentilproxy.Page{Rows: rows, Version: version}, whole, known.content())
+		changed, proven = table.MergeProven(lentilproxy.Page{Rows: rows, Version: version}, whole, content)
 		return changed, whole, proven
 	}
 	proven = known.AgeMS >= 0 && known.Newest > 0
@@ -167,13 +198,7 @@
 			// The age is rounded up, so that a proof does not become younger in transit.
 			age = now.Sub(table.provenAt).Milliseconds() + 1
 		}
-		content := table.Proof()
-		proofs[table.name] = proof{
-			Newest: table.CompleteTo(), AgeMS: age, AsOf: content.AsOf, CompleteTo: content.CompleteTo, Digest: content.Digest, ProvenMS: age,
-		}
-		if table == control.fleet {
-			proofs[table.name] = proof{AgeMS: -1, AsOf: content.AsOf, CompleteTo: content.CompleteTo, Digest: content.Digest, ProvenMS: age}
-		}
+		proofs[control.proofName(table)] = proof{Newest: table.CompleteTo(), AgeMS: age, contentVersion: table.contentVersion()}
 	}
 	return proofs
 }
--- a/io/coord/rows_test.go
+++ b/io/coord/rows_test.go
@@ -19,10 +19,10 @@
 		proven  bool
 		pulls   bool
 	}{
-		"same content":                 {message: `{"newest": 20, "age_ms": 5, "as_of": 30, "complete_to": 20, "digest": DIGEST, "proven_ms": 5}`, proven: true},
-		"same content, age unknown":    {message: `{"newest": 20, "age_ms": -1, "as_of": 30, "complete_to": 20, "digest": DIGEST, "proven_ms": -1}`},
-		"newer content":                {message: `{"newest": 7, "age_ms": 5, "as_of": 30, "complete_to": 7, "digest": 1, "proven_ms": 5}`, pulls: true},
-		"older content":                {message: `{"newest": 7, "age_ms": 5, "as_of": 6, "complete_to": 7, "digest": 1, "proven_ms": 5}`},
+		"same content":                 {message: `{"newest": 20, "age_ms": 5, "as_of": 30, "digest": DIGEST}`, proven: true},
+		"same content, age unknown":    {message: `{"newest": 20, "age_ms": -1, "as_of": 30, "digest": DIGEST}`},
+		"newer content":                {message: `{"newest": 7, "age_ms": 5, "as_of": 30, "digest": "1"}`, pulls: true},
+		"older content":                {message: `{"newest": 7, "age_ms": 5, "as_of": 6, "digest": "1"}`},
 		"previous version":             {message: `{"newest": 7, "age_ms": 5}`, proven: true},
 		"previous version, newer rows": {message: `{"newest": 8, "age_ms": 5}`, pulls: true},
 		"previous version, no proof":   {message: `{"newest": 0, "age_ms": -1}`},
@@ -34,7 +34,7 @@
 			coordinator.do(func(now time.Time) {
 				control.operators.MergeWhole(lentilproxy.Page{Version: 7, Rows: []lentilproxy.Row{{Key: "config", Version: 7}}})
 				control.operators.provenAt, control.operators.pulling, control.operators.pulledAt = now.Add(-time.Second), false, time.Time{}
-				digest, err := json.Marshal(control.operators.Proof().Digest)
+				digest, err := json.Marshal(control.operators.contentVersion().Digest)
 				is.NoErr(err)
 				var received proof
 				is.NoErr(json.Unmarshal([]byte(strings.ReplaceAll(test.message, "DIGEST", string(digest))), &received))
@@ -57,10 +57,10 @@
 		control.fleet.applyRead(now, lentilproxy.Page{Version: 9, Rows: []lentilproxy.Row{{Key: "host:a", Version: 8, Value: []byte(`{"name": "a"}`)}}},
 			tableRead{scan: true, exact: true})
 		control.fleet.provenAt = now
-		sent := control.proofs(now)[control.fleet.name]
-		is.Equal(sent.Newest, int64(0))
-		is.Equal(sent.AgeMS, int64(-1))
-		is.Equal(sent.AsOf, int64(9))
-		is.True(sent.ProvenMS >= 0)
+		proofs := control.proofs(now)
+		_, found := proofs[control.fleet.name]
+		is.True(!found)
+		is.Equal(proofs[fleetContent].AsOf, int64(9))
+		is.True(proofs[fleetContent].AgeMS >= 0)
 	})
 }
