The load of a host's requests goes to peers as differences

A message now has what differs from the last one that the receiver says it has, as short lists of numbers. Hosts of earlier versions get the whole load.

--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -32,6 +32,7 @@
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/mirror"
+	"lentilproxy/core/sched"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/io/block"
@@ -132,6 +133,9 @@
 	isolated   bool
 	modelLoads modelLoadLimiter
 	renewals   *renewals
+	// usage is the load of the host's requests as of usageAt.
+	usage   map[string]sched.Usage
+	usageAt time.Time
 	// avoidedWriters maps hosts that have not written a renewal to the time until which they are not asked to.
 	avoidedWriters map[string]time.Time
 	blockRows      *block.Rows
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -21,6 +21,9 @@
 	callTimeout = 400 * time.Millisecond
 	// fullMessageEvery is the number of messages to a peer after which one contains the full state again.
 	fullMessageEvery = 15
+	// keptUsages bounds the messages of which the usage is kept, on both sides, for differences: those since the last one that the
+	// receiver has confirmed. Usually these are two or three.
+	keptUsages = 16
 )
 
 // gossipMessage is the state that two hosts send each other in an exchange, one in the call and the other one in its
@@ -37,8 +40,14 @@
 	NewestVersions map[string]int64 `json:"newest,omitempty"`
 	// Contents maps tables to what the host's mirrors were proven to contain. Peers that have sent such ones get no NewestVersions.
 	Contents map[string]contentVersion `json:"contents,omitempty"`
-	// Usage maps servers to the load that the host's requests put on them.
+	// Usage maps servers to the load that the host's requests put on them. Peers that send Contents get differences instead.
 	Usage map[string]sched.Usage `json:"usage,omitempty"`
+	// UsageChanges maps servers to the compact usage that differs from the one in the sender's message UsageBase, or to nothing if the
+	// host has no requests there any more. UsageBase is 0 if there is no such message.
+	UsageChanges map[string][]int64 `json:"usage_changes"`
+	UsageBase    int64              `json:"usage_base,omitempty"`
+	// UsageReceived is the last message from the receiver whose usage the sender has.
+	UsageReceived int64 `json:"usage_received,omitempty"`
 	// Demand counts the requests for adapters on servers that the receiver holds. Each request is counted in one
 	// message only.
 	Demand map[string]map[string]float64 `json:"used,omitempty"`
@@ -72,6 +81,11 @@
 	unreachable    bool
 	// sendsContents is set once a message of the peer had Contents.
 	sendsContents bool
+	// sentUsage and receivedUsage hold the usage in the last messages to and from the peer. usageBase is the last message whose usage
+	// the peer says it has.
+	sentUsage     usageHistory
+	receivedUsage usageHistory
+	usageBase     int64
 	// receivedID is the ID of the last message from the peer.
 	receivedID int64
 	// lastResponse is the last message sent to the peer in a response, until the peer reports whether it was received.
@@ -198,8 +212,9 @@
 	}
 	message := gossipMessage{
 		Host: control.coordinator.settings.Host.Name, ID: now.UnixNano(), ReceivedID: peer.receivedID, Members: control.members,
-		Usage: control.coordinator.traffic.ownUsage(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
+		UsageReceived: peer.receivedUsage.newest(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
+	peer.addUsage(&message, control.ownUsage(now))
 	for server, demand := range control.pendingDemand {
 		if control.heldBy(server, peer) {
 			message.Demand[server] = demand
@@ -221,6 +236,14 @@
 	return message, revisions
 }
 
+// ownUsage returns the load of the host's requests. It is the same map for all messages of a short time.
+func (control *control) ownUsage(now time.Time) map[string]sched.Usage {
+	if control.usage == nil || now.Sub(control.usageAt) >= gossipInterval/4 {
+		control.usage, control.usageAt = control.coordinator.traffic.ownUsage(), now
+	}
+	return control.usage
+}
+
 func (control *control) heldBy(server string, peer *peerState) bool {
 	holder, found := control.registry.Holder(server)
 	return found && holder.Name == peer.name
@@ -283,6 +306,8 @@
 	control.setRunning(now, message.Host, message.Running)
 	control.membership.RecordMessage(now, message.Host, message.Members)
 	if peer != nil {
+		peer.confirmUsage(message.UsageReceived)
+		peer.completeUsage(&message)
 		peer.receivedID = message.ID
 		if sentAt, confirmed := peer.confirmResponse(message.ReceivedID); confirmed {
 			control.membership.RecordAck(sentAt, peer.name)
