--- a/core/spec/server.go
+++ b/core/spec/server.go
@@ -31,20 +31,23 @@
 	Evacuated bool
 }
 
-// SameRegistration reports whether two entries are equal except for the number of accepted orders and the loaded
-// versions and adapters, for which the server's lease holder has newer values, and except for the cold time.
-func (server Server) SameRegistration(other Server) bool {
-	if len(server.Models) != len(other.Models) {
-		return false
-	}
-	for index, model := range server.Models {
-		if model.Model != other.Models[index].Model {
-			return false
-		}
+// Registration returns the entry without the number of accepted orders and the loaded versions and adapters, for which the
+// server's lease holder has newer values, and without what the host has added. The cold time is in whole seconds, so that a
+// change of it shows, whichever rows were read before.
+func (server Server) Registration() Server {
+	models := make([]LoadedModel, 0, len(server.Models))
+	for _, model := range server.Models {
+		models = append(models, LoadedModel{Model: model.Model})
 	}
-	server.Models, other.Models, server.Sequence, other.Sequence = nil, nil, 0, 0
-	server.ColdRemaining, other.ColdRemaining, server.ColdUntil, other.ColdUntil = 0, 0, time.Time{}, time.Time{}
-	return reflect.DeepEqual(server, other)
+	server.Models, server.Sequence = models, 0
+	server.ColdRemaining = (server.ColdRemaining + time.Second - 1).Truncate(time.Second)
+	server.ColdUntil, server.Evacuated = time.Time{}, false
+	return server
+}
+
+// SameRegistration reports whether two entries have the same Registration.
+func (server Server) SameRegistration(other Server) bool {
+	return reflect.DeepEqual(server.Registration(), other.Registration())
 }
 
 // Incarnation identifies one start of a server.
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -32,6 +32,8 @@
 	"lentilproxy/core/gossip"
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
+	"lentilproxy/core/mirror"
+	"lentilproxy/core/sched"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -136,7 +138,13 @@
 	members    int
 	isolated   bool
 	modelLoads modelLoadLimiter
-	blockRows  *block.Rows
+	renewals   *renewals
+	// usage is the load of the host's requests as of usageAt.
+	usage   map[string]sched.Usage
+	usageAt time.Time
+	// avoidedWriters maps hosts that have not written a renewal to the time until which they are not asked to.
+	avoidedWriters map[string]time.Time
+	blockRows      *block.Rows
 }
 
 // New starts a coordinator that serves its peers on a listener.
@@ -159,19 +167,20 @@
 	coordinator.blocks = exchanger
 	operators, servers := platform.Decoder.Tables()
 	control := &control{
-		coordinator: coordinator, operators: newTableMirror(operators, operatorsReadAge, rowsPullInterval), servers: newTableMirror(servers, serversReadAge, rowsPullInterval),
-		fleet: newTableMirror(lease.Table, fleetReadAge, fleetPullInterval),
+		coordinator: coordinator, operators: newTableMirror(operators, operatorsReadAge, rowsPullInterval),
+		fleet: newTableMirror(lease.Table, fleetReadAge, fleetPullInterval, mirror.WithContent(lease.Content)),
 		registry: lease.New(lease.Host{
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, RunID: coordinator.runID,
 		}, settings.Bounds.LeaseGap),
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, pendingDemand: map[string]map[string]float64{}, decoded: map[string]decodedServer{}, decodedVersions: map[string]int64{},
 		lapsedUntil: map[string]time.Time{}, evacuations: map[string]string{}, unknownLogged: value.NewSet[string](), membership: limit.NewMembership(settings.Host.Name),
 		gossip: gossip.New(settings.Host.Name, gossipInterval, maxExchanges), blockRows: blockRows,
+		renewals: newRenewals(coordinator), avoidedWriters: map[string]time.Time{},
 	}
+	control.servers = newTableMirror(servers, serversReadAge, rowsPullInterval, mirror.WithContent(control.registrationHash))
 	coordinator.traffic.control = control
 	coordinator.orders.OnNotice(coordinator.RecordNotices)
 	coordinator.peerServer = peer.NewServer(listener, coordinator.meter, control.handle)
-	control.servers.filter = control.serverChanged
 	coordinator.spawn(control.runTasks)
 	coordinator.spawn(coordinator.traffic.dispatchers.run)
 	for _, table := range control.tables() {
@@ -246,6 +255,7 @@
 
 // Stop releases the servers that the host holds and ends the coordinator.
 func (coordinator *Coordinator) Stop(ctx context.Context) {
+	coordinator.traffic.control.renewals.stop()
 	coordinator.traffic.control.releaseServers(ctx)
 	coordinator.Kill()
 }
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -17,36 +17,44 @@
 	coordinator := control.coordinator
 	for coordinator.ctx.Err() == nil {
 		startedAt := clock.Now()
-		wait := lease.RenewInterval
-		if !control.renewLease() {
-			wait = renewRetryDelay
+		due, renewed := control.renewLease(startedAt)
+		if !renewed {
+			due = startedAt.Add(renewRetryDelay)
 		}
-		if remaining := wait - clock.Now().Sub(startedAt); remaining > 0 && !coordinator.pause(remaining) {
+		if remaining := due.Sub(clock.Now()); remaining > 0 && !coordinator.pause(remaining) {
 			return
 		}
 	}
 }
 
-// renewLease renews the host's lease and claims servers. It reports whether all of it succeeded.
-func (control *control) renewLease() bool {
+// commit commits a transaction, which is counted under a purpose.
+func (coordinator *Coordinator) commit(ctx context.Context, purpose lentilproxy.StorePurpose, transaction lentilproxy.Transaction) (lentilproxy.CommitResult, error) {
+	return coordinator.store.Commit(lentilproxy.WithStorePurpose(ctx, purpose), transaction)
+}
+
+// renewLease renews the host's lease and claims servers. It returns when the next renewal is due, and reports whether all of it
+// succeeded.
+func (control *control) renewLease(startedAt time.Time) (due time.Time, renewed bool) {
 	coordinator := control.coordinator
 	joined := false
 	coordinator.do(func(time.Time) { joined = control.registry.Joined() })
 	if !joined && !control.scanFleet() {
 		// A host must have read the rows of the other hosts before it joins.
-		return false
+		return time.Time{}, false
 	}
-	var renewal lentilproxy.Transaction
-	if !coordinator.do(func(time.Time) { renewal = control.registry.Renewal() }) {
-		return false
+	sentAt, result, wait, err := control.renew()
+	if coordinator.ctx.Err() != nil {
+		return time.Time{}, false
+	}
+	due = startedAt.Add(wait)
+	if wait < lease.RenewInterval {
+		due = clock.Now().Add(wait) // The wait counts from the response of the writer.
 	}
-	sentAt := clock.Now()
-	result, err := coordinator.store.Commit(coordinator.ctx, renewal)
 	coordinator.do(func(now time.Time) { control.applyRenewal(sentAt, now, result, err) })
 	if err != nil || !result.Committed {
-		return false
+		return time.Time{}, false
 	}
-	return control.expelAndClaim()
+	return due, control.expelAndClaim()
 }
 
 func (control *control) applyRenewal(sentAt, now time.Time, result lentilproxy.CommitResult, err error) {
@@ -83,7 +91,10 @@
 		coordinator.metrics.Counter("fleet_scans_failed").Inc(1)
 		return false
 	}
-	return coordinator.do(func(now time.Time) { control.applyProof(now, sentAt, control.fleet, control.fleet.MergeWhole(page)) })
+	return coordinator.do(func(now time.Time) {
+		control.fleet.applyRead(sentAt, page, tableRead{scan: true, exact: true})
+		control.applyProof(now, sentAt, control.fleet, true)
+	})
 }
 
 // observeFleet applies the mirrored rows of hosts and holders.
@@ -94,7 +105,7 @@
 			rows = append(rows, row)
 		}
 	}
-	control.registry.Observe(control.fleet.provenAt, now, rows)
+	control.registry.ObserveContent(control.fleet.provenAt, control.fleet.exactAt, now, rows)
 	control.observeBlocks(now)
 	control.updatePeers(now)
 	control.updateControllers(now, control.coordinator.View())
@@ -121,28 +132,28 @@
 		return false
 	}
 	if needExpulsion {
-		result, err := coordinator.store.Commit(coordinator.ctx, expulsion)
+		result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeExpulsion, expulsion)
 		coordinator.log.Info("host expelled", "host", expelled, "committed", result.Committed, "failed", err != nil)
 	}
 	if needFormerCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, formerCleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, formerCleanup); err != nil {
 			coordinator.log.Info("failed to delete the rows of former hosts", "error", err.Error())
 		}
 	}
 	if needBlockCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, blockCleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, blockCleanup); err != nil {
 			coordinator.log.Info("failed to delete the row of a block that has ended", "error", err.Error())
 		}
 	}
 	if needCleanup {
-		if _, err := coordinator.store.Commit(coordinator.ctx, cleanup); err != nil {
+		if _, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeCleanup, cleanup); err != nil {
 			coordinator.log.Info("failed to delete the rows of deregistered servers", "error", err.Error())
 		}
 	}
 	if !needClaims {
 		return true
 	}
-	result, err := coordinator.store.Commit(coordinator.ctx, claims.Transaction)
+	result, err := coordinator.commit(coordinator.ctx, lentilproxy.PurposeClaim, claims.Transaction)
 	if err != nil || !result.Committed {
 		// The next scan shows which hosts hold them.
 		coordinator.metrics.Counter("claims_failed").Inc(1)
@@ -201,7 +212,7 @@
 	}) || !held {
 		return
 	}
-	if _, err := coordinator.store.Commit(ctx, release); err != nil {
+	if _, err := coordinator.commit(ctx, lentilproxy.PurposeRelease, release); err != nil {
 		coordinator.log.Info("failed to release servers; other hosts claim them after the lease has ended", "error", err.Error())
 	}
 }
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/lease"
+	"lentilproxy/core/mirror"
 	"lentilproxy/io/clock"
 )
 
@@ -15,11 +18,66 @@
 	fleetPullInterval = 600 * time.Millisecond
 )
 
-// proof states that the sender's mirror of a table was complete some time ago. Newest is the version up to which it has all
+// fleetContent is the name under which messages contain proofs of the fleet table. Hosts before version 0.3 need every renewal in that
+// table and ignore this name, so that they get no proofs of it and read it themselves.
+const fleetContent = lease.Table + ".content"
+
+// digestBase is the base of digests in messages.
+const digestBase = 36
+
+// proof states that the sender's mirror of a table was complete some time ago. Newest is the version up to which it has all relevant
 // changes.
 type proof struct {
 	Newest int64 `json:"newest"`
-	AgeMS  int64 `json:"age_ms"`
+	// AgeMS is the age of the proof, or -1 if there is none.
+	AgeMS int64 `json:"age_ms"`
+	contentVersion
+}
+
+// contentVersion is what a mirror was proven to contain. Both fields are missing in messages of hosts before version 0.3, whose proofs
+// hold if the receiver has all changes up to Newest.
+type contentVersion struct {
+	AsOf   int64  `json:"as_of,omitempty"`
+	Digest string `json:"digest,omitempty"`
+}
+
+func (table *tableMirror) contentVersion() contentVersion {
+	content := table.Proof()
+	return contentVersion{AsOf: content.AsOf, Digest: strconv.FormatUint(content.Digest, digestBase)}
+}
+
+// content returns what the sender's mirror was proven to contain. It reports false if the sender does not say so.
+func (proof proof) content() (mirror.Proof, bool) {
+	digest, err := strconv.ParseUint(proof.Digest, digestBase, 64)
+	return mirror.Proof{AsOf: proof.AsOf, CompleteTo: proof.Newest, Digest: digest}, proof.AsOf > 0 && err == nil
+}
+
+// provenAt returns the time as of which the sender's mirror was proven, or zero if it is unknown. The proof was requested at
+// requestedAt, so that a delayed proof is older than it says.
+func (proof proof) provenAt(requestedAt time.Time) time.Time {
+	if proof.AgeMS < 0 {
+		return time.Time{}
+	}
+	return requestedAt.Add(-time.Duration(proof.AgeMS) * time.Millisecond)
+}
+
+// proofOf returns the proof of a table among those of a peer.
+func (control *control) proofOf(proofs map[string]proof, table *tableMirror) (proof, bool) {
+	if table == control.fleet {
+		if known, found := proofs[fleetContent]; found {
+			return known, true
+		}
+	}
+	known, found := proofs[table.name]
+	return known, found
+}
+
+// proofName returns the name under which messages contain proofs of a table.
+func (control *control) proofName(table *tableMirror) string {
+	if table == control.fleet {
+		return fleetContent
+	}
+	return table.name
 }
 
 type rowsParams struct {
@@ -39,16 +97,24 @@
 func (control *control) compareProofs(now, requestedAt time.Time, peer *peerState, proofs map[string]proof) {
 	params := rowsParams{After: map[string]int64{}}
 	for _, table := range control.tables() {
-		known, found := proofs[table.name]
+		known, found := control.proofOf(proofs, table)
+		if !found {
+			continue
+		}
+		provenAt := known.provenAt(requestedAt)
+		lacks, proven := known.Newest > table.CompleteTo(), known.Newest <= table.CompleteTo()
+		if content, stated := known.content(); stated {
+			lacks = table.Lacks(content)
+			proven = !lacks && !provenAt.IsZero() && table.Confirm(content)
+		}
 		switch {
-		case !found:
-		case known.Newest > table.CompleteTo():
+		case lacks:
 			if !table.pulling && now.Sub(table.pulledAt) >= table.pullInterval {
 				table.pulling, table.pulledAt = true, now
 				params.After[table.name] = table.CompleteTo()
 			}
-		case known.AgeMS >= 0:
-			control.applyProof(now, requestedAt.Add(-time.Duration(known.AgeMS)*time.Millisecond), table, false)
+		case proven && !provenAt.IsZero():
+			control.applyProof(now, provenAt, table, false)
 		}
 	}
 	if len(params.After) > 0 {
@@ -57,12 +123,15 @@
 }
 
 // compareVersions requests rows from a peer if the peer has newer ones.
-func (control *control) compareVersions(now time.Time, peer *peerState, newest map[string]int64) {
+func (control *control) compareVersions(now time.Time, peer *peerState, newest map[string]int64, contents map[string]contentVersion) {
 	proofs := map[string]proof{}
+	// A message proves nothing about the age of a mirror, since it may have been in transit for long.
 	for table, version := range newest {
-		// A message proves nothing about the age of a mirror, since it may have been in transit for long.
 		proofs[table] = proof{Newest: version, AgeMS: -1}
 	}
+	for table, content := range contents {
+		proofs[table] = proof{AgeMS: -1, contentVersion: content}
+	}
 	control.compareProofs(now, time.Time{}, peer, proofs)
 }
 
@@ -84,30 +153,40 @@
 			return
 		}
 		for _, table := range control.tables() {
-			provenAt := table.provenAt
-			if known := result.Proofs[table.name]; known.AgeMS >= 0 && known.Newest > 0 {
-				provenAt = requestedAt.Add(-time.Duration(known.AgeMS) * time.Millisecond)
-			}
 			rows, requested := result.Rows[table.name]
 			if !requested {
 				continue
 			}
-			changed, whole := result.merge(table, rows)
+			known, _ := control.proofOf(result.Proofs, table)
+			changed, whole, proven := result.merge(table, rows, known)
 			if changed && table.name != control.fleet.name {
 				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.CompleteTo())
 			}
+			provenAt := table.provenAt
+			if proven {
+				provenAt = known.provenAt(requestedAt)
+			}
 			control.applyProof(now, provenAt, table, changed)
 		}
 	})
 }
 
-// merge applies rows of a table, which may be all of them. It reports whether a row of the mirror changed.
-func (result rowsResult) merge(table *tableMirror, rows []lentilproxy.Row) (changed, whole bool) {
+// merge applies rows of a table, which may be all of them. It reports whether a row of the mirror changed, and whether the proof of
+// the peer holds for the mirror.
+func (result rowsResult) merge(table *tableMirror, rows []lentilproxy.Row, known proof) (changed, whole, proven bool) {
 	version, whole := result.Whole[table.name]
+	if content, stated := known.content(); stated {
+		if !whole {
+			version = known.Newest
+		}
+		changed, proven = table.MergeProven(lentilproxy.Page{Rows: rows, Version: version}, whole, content)
+		return changed, whole, proven
+	}
+	proven = known.AgeMS >= 0 && known.Newest > 0
 	if whole {
-		return table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version}), true
+		return table.MergeWhole(lentilproxy.Page{Rows: rows, Version: version}), true, proven
 	}
-	return table.Merge(lentilproxy.Page{Rows: rows, Version: result.Proofs[table.name].Newest}), false
+	return table.Merge(lentilproxy.Page{Rows: rows, Version: known.Newest}), false, proven
 }
 
 // proofs returns the host's proofs for its mirrors. The age is -1 for a table that the host has no proof for.
@@ -119,7 +198,7 @@
 			// The age is rounded up, so that a proof does not become younger in transit.
 			age = now.Sub(table.provenAt).Milliseconds() + 1
 		}
-		proofs[table.name] = proof{Newest: table.CompleteTo(), AgeMS: age}
+		proofs[control.proofName(table)] = proof{Newest: table.CompleteTo(), AgeMS: age, contentVersion: table.contentVersion()}
 	}
 	return proofs
 }
