--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -19,7 +19,7 @@
 // Mirror is a copy of one table. A row is never replaced by an older version. It is not safe for concurrent use.
 type Mirror struct {
 	rows map[string]lentilproxy.Row
-	// contents holds the relevant content of each row that is not deleted.
+	// contents holds the relevant content of each row that is not deleted. It is empty if each version of a row is relevant.
 	contents   map[string]content
 	tombstones int
 	// completeTo is the version up to which the mirror has all relevant changes. Rows may be newer: a scan takes a while, and its
@@ -177,7 +177,7 @@
 			continue
 		}
 		mirror.mergeRow(row)
-		if row.Deleted || mirror.contents[row.Key].changedAt == row.Version {
+		if mirror.content(row).changedAt == row.Version {
 			newest = max(newest, row.Version)
 		}
 	}
@@ -193,7 +193,8 @@
 	if found && known.Version >= row.Version {
 		return
 	}
-	before, live := mirror.contents[row.Key]
+	live := found && !known.Deleted
+	before := mirror.content(known)
 	mirror.rows[row.Key] = row
 	if row.Deleted {
 		if live {
@@ -206,23 +207,31 @@
 		mirror.revision++
 		return
 	}
-	hash := uint64(row.Version)
+	current := content{hash: uint64(row.Version), changedAt: row.Version}
 	if mirror.contentOf != nil {
-		hash = mirror.contentOf(row)
-	}
-	if live && before.hash == hash {
-		return
+		current.hash = mirror.contentOf(row)
+		if live && before.hash == current.hash {
+			return
+		}
+		mirror.contents[row.Key] = current
 	}
 	if live {
 		mirror.digest -= hashRow(row.Key, before.hash)
 	} else if found {
 		mirror.tombstones--
 	}
-	mirror.digest += hashRow(row.Key, hash)
-	mirror.contents[row.Key] = content{hash: hash, changedAt: row.Version}
+	mirror.digest += hashRow(row.Key, current.hash)
 	mirror.revision++
 }
 
+// content returns the relevant content of a row of the mirror.
+func (mirror *Mirror) content(row lentilproxy.Row) content {
+	if mirror.contentOf == nil || row.Deleted {
+		return content{hash: uint64(row.Version), changedAt: row.Version}
+	}
+	return mirror.contents[row.Key]
+}
+
 // hashRow returns the hash of a row with a hash of its relevant content.
 func hashRow(key string, hash uint64) uint64 {
 	encoded := make([]byte, 0, len(key)+8)
@@ -255,11 +264,8 @@
 // which they are complete. If the mirror lacks a part of these changes, Since returns the whole table instead, without deleted rows.
 func (mirror *Mirror) Since(version int64) (page lentilproxy.Page, whole bool) {
 	page.Version, whole = mirror.completeTo, version < mirror.historySince
-	for key, row := range mirror.rows {
-		changedAt := row.Version
-		if !row.Deleted {
-			changedAt = mirror.contents[key].changedAt
-		}
+	for _, row := range mirror.rows {
+		changedAt := mirror.content(row).changedAt
 		if (whole && !row.Deleted) || (!whole && changedAt > version) {
 			page.Rows = append(page.Rows, row)
 		}
