Loaded adapters go to peers as differences

A change of one adapter sent all adapters of the server to each peer, and every 15th message to a peer had those of all servers of the sender. They now go as differences from the message that the receiver has confirmed, with the load of requests; the receiver applies the whole state that it has every 15 messages, since traffic drops what it gets for servers that it does not know yet.

--- a/io/coord/bytes_test.go
+++ b/io/coord/bytes_test.go
@@ -49,6 +49,8 @@
 			now = now.Add(gossipInterval)
 			for changed += float64(changes) * gossipInterval.Seconds(); changed >= 1 && len(held) > 0; changed-- {
 				held[0].revision++
+				held[0].published.Adapters = maps.Clone(held[0].published.Adapters)
+				held[0].published.Adapters["workspace-001/adapter-00"] = held[0].revision
 				held = append(held[1:], held[0])
 			}
 			// A request begins or ends on every fourth used server in an interval.
@@ -73,7 +75,7 @@
 						message.Contents[control.proofName(table)] = contentVersion{AsOf: 12345678, Digest: "3w5e11264sgsf"}
 					}
 					for part, content := range map[string]any{
-						"whole": message, "usage": message.Usage, "changes": message.UsageChanges, "loaded": message.Loaded, "contents": message.Contents,
+						"whole": message, "usage": message.Usage, "changes": message.UsageChanges, "loaded": message.Loaded, "loaded changes": message.LoadedChanges, "contents": message.Contents,
 					} {
 						encoded, err := json.Marshal(content)
 						is.NoErr(err)
@@ -97,18 +99,46 @@
 		{hosts: 25, used: 20, bound: 120e3},
 		{hosts: 85, used: 20, bound: 100e3},
 		{hosts: 100, used: 20, bound: 100e3},
-		{hosts: 100, used: 100, changes: 10, bound: 450e3},
-		{hosts: 25, used: 20, confirmed: true, bound: 80e3},
-		{hosts: 85, used: 20, confirmed: true, bound: 55e3},
-		{hosts: 100, used: 20, confirmed: true, bound: 50e3},
-		{hosts: 100, used: 100, changes: 10, confirmed: true, bound: 220e3},
+		{hosts: 100, used: 100, changes: 10, bound: 480e3},
+		{hosts: 25, used: 20, confirmed: true, bound: 35e3},
+		{hosts: 85, used: 20, confirmed: true, bound: 40e3},
+		{hosts: 100, used: 20, confirmed: true, bound: 42e3},
+		{hosts: 100, used: 100, changes: 10, confirmed: true, bound: 140e3},
 	} {
 		t.Run(fmt.Sprintf("%d hosts, %d servers used, %d changes a second, confirmed %v", test.hosts, test.used, test.changes, test.confirmed), func(t *testing.T) {
 			total, parts := messageBytes(t, test.hosts, 1000, test.used, test.changes, test.confirmed)
-			t.Logf("%.1f kB/s sent: usage %.1f, its changes %.1f, loaded %.1f, contents %.1f", total/1000, parts["usage"]/1000, parts["changes"]/1000, parts["loaded"]/1000, parts["contents"]/1000)
+			t.Logf("%.1f kB/s sent: usage %.1f, its changes %.1f, loaded %.1f, contents %.1f", total/1000, parts["usage"]/1000, parts["changes"]/1000, (parts["loaded"]+parts["loaded changes"])/1000, parts["contents"]/1000)
 			if total > test.bound {
 				t.Fatalf("%.0f bytes a second", total)
 			}
 		})
 	}
 }
+
+// Guards against hosts of the previous version that get differences, which they ignore, and against new ones that get the whole state of
+// the previous version and take it for differences.
+func TestStateForThePreviousVersion(t *testing.T) {
+	is := is.New(t)
+	coordinator := newIdleCoordinator(t)
+	coordinator.do(func(now time.Time) {
+		control := coordinator.traffic.control
+		defer clear(control.controllers)
+		loaded := sched.Loaded{Model: "base", Orderable: true, Adapters: map[string]int64{"a1": 1}}
+		control.controllers["engine-1"] = &controller{revision: 1, published: loaded}
+		control.usage, control.usageAt = map[string]sched.Usage{"engine-1": {Running: 1}}, now
+		for _, version := range []bool{false, true} {
+			sender := &peerState{ackedRevisions: map[string]int64{}, sendsContents: version}
+			message, _ := control.composeMessage(now, sender)
+			encoded, err := json.Marshal(message)
+			is.NoErr(err)
+			var received gossipMessage
+			is.NoErr(json.Unmarshal(encoded, &received))
+			is.Equal(len(received.Usage) > 0, !version)
+			is.Equal(len(received.Loaded) > 0, !version)
+			receiver := &peerState{}
+			receiver.completeState(&received)
+			is.Equal(received.Usage, control.usage)
+			is.Equal(received.Loaded["engine-1"].Loaded, loaded)
+		}
+	})
+}
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -46,6 +46,9 @@
 	// host has no requests there any more. UsageBase is 0 if there is no such message.
 	UsageChanges map[string][]int64 `json:"usage_changes"`
 	UsageBase    int64              `json:"usage_base,omitempty"`
+	// LoadedChanges maps servers to what differs in their loaded adapters from the same message. Peers that send Contents get it instead
+	// of Loaded.
+	LoadedChanges map[string]loadedChange `json:"held_changes,omitempty"`
 	// UsageReceived is the last message from the receiver whose usage the sender has.
 	UsageReceived int64 `json:"usage_received,omitempty"`
 	// Demand counts the requests for adapters on servers that the receiver holds. Each request is counted in one
@@ -86,6 +89,8 @@
 	sentUsage     usageHistory
 	receivedUsage usageHistory
 	usageBase     int64
+	// receivedCount counts the messages of the peer with differences.
+	receivedCount int
 	// receivedID is the ID of the last message from the peer.
 	receivedID int64
 	// lastResponse is the last message sent to the peer in a response, until the peer reports whether it was received.
@@ -214,7 +219,7 @@
 		Host: control.coordinator.settings.Host.Name, ID: now.UnixNano(), ReceivedID: peer.receivedID, Members: control.members,
 		UsageReceived: peer.receivedUsage.newest(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
-	peer.addUsage(&message, control.ownUsage(now))
+	peer.addState(&message, control.ownUsage(now), control.ownLoaded())
 	for server, demand := range control.pendingDemand {
 		if control.heldBy(server, peer) {
 			message.Demand[server] = demand
@@ -228,7 +233,7 @@
 	}
 	revisions := map[string]int64{}
 	for name, controller := range control.controllers {
-		if !peer.hasRevision(name, controller.revision) {
+		if !peer.sendsContents && !peer.hasRevision(name, controller.revision) {
 			message.Loaded[name] = loadedUpdate{StartedMillis: controller.server.StartedMillis, Loaded: controller.published}
 			revisions[name] = controller.revision
 		}
@@ -244,6 +249,17 @@
 	return control.usage
 }
 
+// ownLoaded returns what the servers that this host holds have loaded.
+func (control *control) ownLoaded() map[string]loadedUpdate {
+	loaded := make(map[string]loadedUpdate, len(control.controllers))
+	for name, controller := range control.controllers {
+		if controller.revision > 0 {
+			loaded[name] = loadedUpdate{StartedMillis: controller.server.StartedMillis, Loaded: controller.published}
+		}
+	}
+	return loaded
+}
+
 func (control *control) heldBy(server string, peer *peerState) bool {
 	holder, found := control.registry.Holder(server)
 	return found && holder.Name == peer.name
@@ -307,7 +323,7 @@
 	control.membership.RecordMessage(now, message.Host, message.Members)
 	if peer != nil {
 		peer.confirmUsage(message.UsageReceived)
-		peer.completeUsage(&message)
+		peer.completeState(&message)
 		peer.receivedID = message.ID
 		if sentAt, confirmed := peer.confirmResponse(message.ReceivedID); confirmed {
 			control.membership.RecordAck(sentAt, peer.name)
