--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -18,7 +18,7 @@
 	fleetPullInterval = 600 * time.Millisecond
 )
 
-// fleetContent is the name under which messages contain proofs of the fleet table. Hosts before version 0.3 need every renewal in that
+// fleetContent is the name under which messages contain proofs of the fleet table. Hosts of earlier versions need every renewal in that
 // table and ignore this name, so that they get no proofs of it and read it themselves.
 const fleetContent = lease.Table + ".content"
 
@@ -34,7 +34,7 @@
 	contentVersion
 }
 
-// contentVersion is what a mirror was proven to contain. Both fields are missing in messages of hosts before version 0.3, whose proofs
+// contentVersion is what a mirror was proven to contain. Both fields are missing in messages of hosts of earlier versions, whose proofs
 // hold if the receiver has all changes up to Newest.
 type contentVersion struct {
 	AsOf   int64  `json:"as_of,omitempty"`
