--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -11,7 +11,13 @@
 	"gopkg.in/ini.v1"
 )
 
-const tagName = "ini"
+const (
+	tagName = "ini"
+	// Fields tagged emptyTagName:"unset" keep their value if the declaration has the key without a value. A template yields that
+	// for a placeholder without a value.
+	emptyTagName = "empty"
+	emptyUnset   = "unset"
+)
 
 // Fault is one error in a declaration.
 type Fault struct {
@@ -122,6 +128,9 @@
 		if !section.body.HasKey(tag) {
 			continue
 		}
+		if section.body.Key(tag).String() == "" && fields.Type().Field(index).Tag.Get(emptyTagName) == emptyUnset {
+			continue
+		}
 		if err := setField(fields.Field(index), section.body.Key(tag)); err != nil {
 			faults = append(faults, section.Fault(tag, fmt.Sprintf("%s: %v", tag, err)))
 		}
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -29,10 +30,14 @@
 	DefaultStopGrace = 8 * time.Second
 )
 
-// Host identifies the daemon's host.
+// Host identifies the daemon's host, and states what its process may use.
 type Host struct {
 	Name       string `ini:"name"`
 	DataCentre string `ini:"data_centre"`
+	// MemoryLimitMB is the memory that the process may use, in units of 1,000,000 bytes, and DescriptorLimit the number of file
+	// descriptors. 0 means that the settings state none.
+	MemoryLimitMB   float64 `ini:"memory_limit_mb" empty:"unset"`
+	DescriptorLimit float64 `ini:"descriptor_limit" empty:"unset"`
 }
 
 // Listen holds the addresses to listen on, as IP:port.
@@ -160,6 +165,8 @@
 		parser.decode(section, &settings.Host)
 		parser.require(section, "name", settings.Host.Name)
 		parser.require(section, "data_centre", settings.Host.DataCentre)
+		parser.requireNotNegative(section, "memory_limit_mb", settings.Host.MemoryLimitMB)
+		parser.requireNotNegative(section, "descriptor_limit", settings.Host.DescriptorLimit)
 	case "listen":
 		parser.decode(section, &settings.Listen)
 		parser.checkListen(section)
@@ -208,6 +215,12 @@
 	}
 }
 
+func (parser *parser) requireNotNegative(section *decl.Section, key string, number float64) {
+	if !(number >= 0) || math.IsInf(number, 1) {
+		parser.report(section, key, key+" must not be negative")
+	}
+}
+
 func (parser *parser) requireAddress(section *decl.Section, key, content string) {
 	if _, err := netip.ParseAddrPort(content); err != nil {
 		parser.report(section, key, fmt.Sprintf("%s: %q is not IP:port", key, content))
--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// A platform that states no limits leaves their placeholders empty, which must neither be a fault nor a limit of 0 bytes.
+func TestParseLimitsOfHost(t *testing.T) {
+	for lines, want := range map[string]struct {
+		memory, descriptors float64
+		fault               string
+	}{
+		"": {},
+		"memory_limit_mb =\ndescriptor_limit = \n":         {},
+		"memory_limit_mb = 144\ndescriptor_limit = 3000\n": {memory: 144, descriptors: 3000},
+		"memory_limit_mb = 144.5\n":                        {memory: 144.5},
+		"memory_limit_mb = -1\n":                           {memory: -1, fault: "memory_limit_mb must not be negative"},
+		"descriptor_limit = many\n":                        {fault: `descriptor_limit: "many" is not a number`},
+	} {
+		t.Run(lines, func(t *testing.T) {
+			is := is.New(t)
+			settings, faults := parse(strings.Replace(hosted, "[listen]\n", lines+"[listen]\n", 1))
+			is.True(strings.Contains(faults, want.fault) && (want.fault != "" || faults == "[]"))
+			is.Equal(settings.Host.MemoryLimitMB, want.memory)
+			is.Equal(settings.Host.DescriptorLimit, want.descriptors)
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("[host\nname\n=x\n[objective \"a]\ntarget=NaN\n"))
--- /dev/null
+++ b/io/crowd/crowd.go
@@ -0,0 +1,2 @@
+// Package crowd tests daemons that run as processes against callers that try to exhaust them.
+package crowd
