Bodies to and from servers are not copied

A request to a server was copied behind its head, so that a large body was held twice. The reader that looks for other responses in a body allocated memory for each read, so that a response that is passed on caused garbage of its own size. The head and a large body are now written one after the other, and the reader uses its memory again.

--- a/io/link/body.go
+++ b/io/link/body.go
@@ -30,6 +30,8 @@
 	// pending holds what has been read and not been returned. The first safe bytes of it are no part of another response.
 	pending []byte
 	safe    int
+	// store is memory for pending.
+	store []byte
 	// err is the error that ended the source, or nil. found is set once another response has begun.
 	err   error
 	found bool
@@ -71,7 +73,13 @@
 			return 0, body.err
 		}
 		count, err := body.source.Read(body.buffer)
-		body.pending = append(body.pending, body.buffer[:count]...)
+		if len(body.pending) == 0 {
+			// What was pending has been copied, so that its memory can be used again.
+			body.store = append(body.store[:0], body.buffer[:count]...)
+			body.pending = body.store
+		} else {
+			body.pending = append(body.pending, body.buffer[:count]...)
+		}
 		body.err = err
 	}
 }
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -116,15 +116,17 @@
 
 // exchange writes the request and reads the status line and headers of its response.
 func (response *Response) exchange(request *Request) error {
-	content := encode(request)
-	if len(content) < concurrentWriteBytes {
-		if _, err := response.conn.raw.Write(content); err != nil {
+	head := encodeHead(request)
+	if len(head)+len(request.Body) < concurrentWriteBytes {
+		if _, err := response.conn.raw.Write(append(head, request.Body...)); err != nil {
 			return err
 		}
 	} else {
 		response.unsent.Store(true)
+		// A large body is not copied.
+		content := net.Buffers{head, request.Body}
 		go func() {
-			if _, err := response.conn.raw.Write(content); err == nil {
+			if _, err := content.WriteTo(response.conn.raw); err == nil {
 				response.unsent.Store(false)
 			}
 		}()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -340,17 +340,16 @@
 	return response, nil
 }
 
-// encode returns a request in the format of HTTP/1.1.
-func encode(request *Request) []byte {
+// encodeHead returns the head of a request in the format of HTTP/1.1.
+func encodeHead(request *Request) []byte {
 	var out bytes.Buffer
-	out.Grow(len(request.Body) + 1024)
+	out.Grow(1024)
 	out.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(&out)
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(request.Body)
 	return out.Bytes()
 }
 
