Both interfaces serve callers within the budget of the process

Bodies were buffered whole before route and key were checked, heads, responses and connections were not bounded together. io/front checks a head before it reads a body that has not arrived, and reads heads, bodies and responses through the budget. io/gate does so with a reader around the body and a listener that counts connections; bodies and unread responses have time limits there. The settings memory_limit_mb and descriptor_limit, and Go's memory limit, are in use.

The tests listen on an address of their own, since the ports of 127.0.0.1 ran out beside other work; crowds and bounds are as before.

--- a/io/crowd/harness_test.go
+++ b/io/crowd/harness_test.go
@@ -185,10 +185,13 @@
 	}
 }
 
+// loopback is an address that no other test or process uses, so that its ports do not run out.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, os.Getpid()%250, 251)
+
 // serve serves a handler on a loopback address until the end of the test, and returns the address.
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
-	server, err := fake.Serve("127.0.0.1:0", handler)
+	server, err := fake.Serve(loopback+":0", handler)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,7 +204,7 @@
 	t.Helper()
 	addresses := make([]string, count)
 	for index := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", loopback+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -233,7 +236,7 @@
 	storeAddress := serve(t, store)
 	var servers []*stub.Server
 	for number := range 2 {
-		server, err := stub.NewServer(fmt.Sprint("server-", number), stub.ServiceOrders, stub.WithPadding(largeResponseBytes))
+		server, err := stub.NewServer(fmt.Sprint("server-", number), stub.ServiceOrders, stub.WithPadding(largeResponseBytes), stub.WithAddress(loopback+":0"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"lentilproxy/core/setup"
 	"lentilproxy/io/admin"
 	"lentilproxy/io/gate"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/ledger"
 	"lentilproxy/io/node"
 	"lentilproxy/io/report"
@@ -18,6 +19,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -38,6 +40,7 @@
 	ledger       *ledger.Ledger
 	reports      *report.Recorder
 	listeners    *listeners
+	pool         *hold.Pool
 	closeMetrics func() error
 	stopOnce     sync.Once
 	done         chan struct{}
@@ -66,7 +69,10 @@
 	daemon.node = node.New(settings, platform, platform, opened.open[peersListenerIndex], node.WithLog(daemon.log), node.WithMetrics(scope))
 	daemon.ledger = ledger.New(platform, settings.Host.Name)
 	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives, report.WithLog(daemon.log))
-	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
+	daemon.pool = newPool(settings, daemon.log, scope)
+	opened.open[0] = daemon.pool.Listen(opened.open[0])
+	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports),
+		gate.WithPool(daemon.pool))
 	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports))
 	if err != nil {
 		return nil, oops.Code("internal").Wrap(err)
@@ -77,6 +83,11 @@
 	return daemon, nil
 }
 
+// newPool returns the bounds of what callers may hold.
+func newPool(settings *setup.Settings, log logr.Logger, scope tally.Scope) *hold.Pool {
+	return hold.New(hold.Memory(settings.Host.MemoryLimitMB), hold.Descriptors(settings.Host.DescriptorLimit), hold.WithLog(log), hold.WithMetrics(scope))
+}
+
 // CallersAddress returns the address for callers, as IP:port.
 func (daemon *Daemon) CallersAddress() string { return daemon.listeners.address(0) }
 
@@ -114,6 +125,7 @@
 		daemon.ledger.Close()
 		daemon.reports.Close(closing)
 		daemon.listeners.close()
+		daemon.pool.Close()
 		_ = daemon.closeMetrics()
 		daemon.log.Info("stopped")
 	})
--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -11,6 +11,7 @@
 	"lentilproxy/core/setup"
 	"lentilproxy/io/coord"
 	"lentilproxy/io/front"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/link"
 	"lentilproxy/io/serve"
 	"lentilproxy/platform"
@@ -37,6 +38,7 @@
 	settings     *setup.Settings
 	log          logr.Logger
 	coordinator  *coord.Coordinator
+	pool         *hold.Pool
 	front        *front.Server
 	links        *link.Pool
 	orders       *link.Ahead
@@ -72,7 +74,8 @@
 			recordSurplus(log, scope, dialect, server, surplus, response)
 		}))
 	service := serve.New(hosted.coordinator, dialect, hosted.links, serve.WithLog(log), serve.WithMetrics(scope))
-	hosted.front = front.New(opened.open[0], service.Limits, service.Handle)
+	hosted.pool = newPool(settings, log, scope)
+	hosted.front = front.New(opened.open[0], service.Limits, service.Handle, front.WithPool(hosted.pool), front.WithCheck(service.Check))
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(dialect.ReadyPath(), hosted.serveReadiness)
 	opened.serve(&http.Server{Handler: readyMux, ReadHeaderTimeout: closeTimeout}, 1)
@@ -123,6 +126,7 @@
 // close ends all connections, and the metrics.
 func (hosted *Hosted) close() {
 	hosted.front.Close()
+	hosted.pool.Close()
 	hosted.links.Close()
 	hosted.orders.Close()
 	hosted.listeners.close()
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -11,6 +11,7 @@
 
 	"lentilproxy/core/decl"
 	"lentilproxy/core/setup"
+	"lentilproxy/io/hold"
 
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
@@ -74,6 +75,7 @@
 }
 
 func run(settings *setup.Settings, path string, stdout, stderr io.Writer) int {
+	hold.LimitRuntime(hold.Memory(settings.Host.MemoryLimitMB))
 	if settings.Platform.Store != "" {
 		return runHosted(settings, path, stdout, stderr)
 	}
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -17,7 +18,9 @@
 	"syscall"
 	"time"
 
+	"lentilproxy/core/budget"
 	"lentilproxy/core/spec"
+	"lentilproxy/io/hold"
 
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
@@ -33,7 +36,12 @@
 	server *Server
 	raw    net.Conn
 	reader *bufio.Reader
-	mutex  sync.Mutex
+	// counted counts the connection, and headShare is what its head holds beyond readBufferBytes. Both may be nil.
+	counted   *hold.Conn
+	headShare *hold.Share
+	// arrived holds bytes of a replaced read buffer that the present one has not taken yet.
+	arrived []byte
+	mutex   sync.Mutex
 	// idle is set while no byte of the next request has been read.
 	idle bool
 	// served is set once a request has been handled.
@@ -44,8 +52,12 @@
 
 // serve handles the requests of the connection until it ends.
 func (conn *conn) serve() {
-	defer func() { _ = conn.raw.Close() }()
+	defer func() {
+		conn.headShare.Close()
+		_ = conn.raw.Close()
+	}()
 	for {
+		conn.shrinkReader()
 		limits := conn.server.limits()
 		if !conn.awaitRequest(limits.IdleTimeout) {
 			return
@@ -58,7 +70,13 @@
 		if request == nil {
 			return
 		}
-		if !conn.handle(request) {
+		if !conn.counted.Set(budget.Serving) {
+			request.release()
+			return
+		}
+		kept := conn.handle(request)
+		request.release()
+		if !kept || !conn.counted.Set(budget.Idle) {
 			if request.complete {
 				conn.discardUnread()
 			}
@@ -77,7 +95,7 @@
 			return false
 		}
 	}
-	return conn.endIdle()
+	return conn.endIdle() && conn.counted.Set(budget.Reading)
 }
 
 // beginIdle records that the connection waits for a request. It returns false if the connection has been closed.
@@ -145,6 +163,8 @@
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errMalformed):
 		return nil, http.StatusBadRequest
+	case errors.Is(err, hold.ErrNoRoom):
+		return nil, http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
 	case err != nil:
@@ -154,6 +174,63 @@
 	if err != nil {
 		return nil, http.StatusBadRequest
 	}
+	exchange.conn = conn
+	switch size := announcedLength(exchange.header); {
+	case size == unreadableLength:
+		return nil, http.StatusBadRequest
+	case size > limits.BodyBytes:
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if conn.hasWholeBody(exchange.header) {
+		return conn.readArrived(exchange)
+	}
+	return conn.readSlowly(exchange, limits.BodyBytes)
+}
+
+// hasWholeBody reports whether the whole body of a request has arrived, in the read buffer of the connection.
+func (conn *conn) hasWholeBody(header http.Header) bool {
+	if header.Get("Transfer-Encoding") != "" || header.Get("Expect") != "" {
+		return false
+	}
+	return announcedLength(header) <= int64(conn.reader.Buffered())
+}
+
+// unreadableLength is the length of a body whose header has a number that is too large.
+const unreadableLength = math.MaxInt64
+
+// announcedLength returns the length of a body according to its header, and 0 if it has none.
+func announcedLength(header http.Header) int64 {
+	length := header.Get("Content-Length")
+	if length == "" {
+		return 0
+	}
+	size, err := strconv.ParseInt(length, 10, 64)
+	if err != nil {
+		return unreadableLength
+	}
+	return size
+}
+
+// readArrived reads a body that has arrived.
+func (conn *conn) readArrived(exchange *Exchange) (*Exchange, int) {
+	if size := announcedLength(exchange.header); size > 0 {
+		exchange.body = make([]byte, size)
+		if _, err := io.ReadFull(conn.reader, exchange.body); err != nil {
+			return nil, 0
+		}
+	}
+	return exchange, 0
+}
+
+// readSlowly reads a body that has not arrived completely, unless the head is enough to refuse the request.
+func (conn *conn) readSlowly(exchange *Exchange, limit int64) (*Exchange, int) {
+	accepted, known := conn.server.check(exchange)
+	if !accepted {
+		exchange.unread = true
+		// What follows on the connection is the body.
+		exchange.close = true
+		return exchange, 0
+	}
 	if strings.EqualFold(exchange.header.Get("Expect"), "100-continue") {
 		// The deadline of the response before this request may be over. After a part of the line nothing else may follow.
 		_ = conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -162,11 +239,17 @@
 		}
 	}
 	_ = conn.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, status := conn.readBody(exchange.header, limits.BodyBytes)
+	exchange.share = conn.server.pool.Open(budget.Bodies, known, func() { _ = conn.raw.SetReadDeadline(pastDeadline) })
+	exchange.share.Expose()
+	body, status := conn.readBody(exchange, limit)
+	if !exchange.share.Pin() {
+		status = http.StatusServiceUnavailable
+	}
 	if status != 0 {
+		exchange.share.Close()
 		return nil, status
 	}
-	exchange.conn, exchange.body = conn, body
+	exchange.body = body
 	return exchange, 0
 }
 
@@ -191,7 +274,9 @@
 			if conn.reader.Size() >= limit {
 				return nil, errTooLarge
 			}
-			conn.reader = bufio.NewReaderSize(conn.reader, min(2*conn.reader.Size(), limit))
+			if !conn.growReader(min(2*conn.reader.Size(), limit)) {
+				return nil, hold.ErrNoRoom
+			}
 			continue
 		}
 		if _, err := conn.reader.Peek(size); err != nil {
@@ -214,28 +299,64 @@
 	}
 }
 
+// growReader replaces the read buffer by a larger one with the same content. It returns false if there is no memory for it.
+func (conn *conn) growReader(size int) bool {
+	if conn.headShare == nil {
+		conn.headShare = conn.server.pool.Open(budget.Heads, false, func() {})
+	}
+	if !conn.headShare.Grow(headCopies*int64(size-conn.reader.Size()), headPatience) {
+		return false
+	}
+	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
+	conn.arrived = bytes.Clone(buffered)
+	conn.reader = bufio.NewReaderSize(arrivedReader{conn}, size)
+	return true
+}
+
+// shrinkReader gives a grown read buffer back once everything in it has been read.
+func (conn *conn) shrinkReader() {
+	if conn.reader.Size() <= readBufferBytes || conn.reader.Buffered() > 0 || len(conn.arrived) > 0 {
+		return
+	}
+	conn.reader = bufio.NewReaderSize(conn.raw, readBufferBytes)
+	conn.headShare.Close()
+	conn.headShare = nil
+}
+
+// arrivedReader reads what a replaced read buffer held, and then from the connection.
+type arrivedReader struct{ conn *conn }
+
+// Read implements io.Reader.
+func (arrivedReader arrivedReader) Read(buffer []byte) (int, error) {
+	conn := arrivedReader.conn
+	if len(conn.arrived) == 0 {
+		return conn.raw.Read(buffer)
+	}
+	count := copy(buffer, conn.arrived)
+	if conn.arrived = conn.arrived[count:]; len(conn.arrived) == 0 {
+		conn.arrived = nil
+	}
+	return count, nil
+}
+
 // readBody reads the body according to the Content-Length or Transfer-Encoding header. A status other than 0 means that
 // the request is rejected.
-func (conn *conn) readBody(header http.Header, limit int64) ([]byte, int) {
+func (conn *conn) readBody(exchange *Exchange, limit int64) ([]byte, int) {
 	var body []byte
 	var err error
-	if length := header.Get("Content-Length"); length != "" {
-		size, invalid := strconv.ParseInt(length, 10, 64)
-		switch {
-		case invalid != nil:
-			return nil, http.StatusBadRequest
-		case size > limit:
-			return nil, http.StatusRequestEntityTooLarge
-		}
-		body, err = io.ReadAll(io.LimitReader(conn.reader, size))
+	if exchange.header.Get("Transfer-Encoding") != "" {
+		body, err = conn.readChunks(exchange.share, limit)
+	} else {
+		size := announcedLength(exchange.header)
+		body, err = exchange.share.ReadAll(conn.watchProgress(io.LimitReader(conn.reader, size)), size, limit, 1)
 		if err == nil && int64(len(body)) < size {
 			err = io.ErrUnexpectedEOF
 		}
-	} else if header.Get("Transfer-Encoding") != "" {
-		body, err = conn.readChunks(limit)
 	}
 	var timeout net.Error
 	switch {
+	case errors.Is(err, hold.ErrNoRoom):
+		return nil, http.StatusServiceUnavailable
 	case int64(len(body)) > limit:
 		return nil, http.StatusRequestEntityTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -246,9 +367,30 @@
 	return body, 0
 }
 
+// progressReader notes the progress of a body, so that a connection on which much arrives does not count as waiting.
+type progressReader struct {
+	source  io.Reader
+	conn    *conn
+	arrived int
+}
+
+func (conn *conn) watchProgress(source io.Reader) io.Reader {
+	return &progressReader{source: source, conn: conn}
+}
+
+// Read implements io.Reader.
+func (progressReader *progressReader) Read(buffer []byte) (int, error) {
+	count, err := progressReader.source.Read(buffer)
+	if progressReader.arrived += count; progressReader.arrived >= progressBytes {
+		progressReader.arrived = 0
+		progressReader.conn.counted.Set(budget.Reading)
+	}
+	return count, err
+}
+
 // readChunks reads a chunked body and discards the trailer.
-func (conn *conn) readChunks(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(conn.reader), limit+1))
+func (conn *conn) readChunks(share *hold.Share, limit int64) ([]byte, error) {
+	body, err := share.ReadAll(conn.watchProgress(io.LimitReader(httputil.NewChunkedReader(conn.reader), limit+1)), -1, limit, 1)
 	if err != nil || int64(len(body)) > limit {
 		return body, err
 	}
@@ -323,11 +465,24 @@
 // the method may be HEAD.
 func (conn *conn) reject(status int) {
 	exchange := &Exchange{conn: conn, close: true}
-	exchange.Respond(status, http.Header{}, nil)
+	header := http.Header{}
+	if status == http.StatusServiceUnavailable {
+		// The request has not been passed on, so that it has not run.
+		header.Set("Retry-After", retryAfterSeconds)
+	}
+	exchange.Respond(status, header, nil)
 	conn.linger()
 }
 
 const (
+	// retryAfterSeconds is the time after which a caller should send a request again for which there was no memory.
+	retryAfterSeconds = "1"
+	// progressBytes is the part of a body whose arrival counts as progress of its connection.
+	progressBytes = 64 << 10
+	// headCopies is how often a head is held: in the read buffer, as a copy, and in the fields of the request.
+	headCopies = 3
+	// headPatience is how long a head waits for memory before it is refused.
+	headPatience = 300 * time.Millisecond
 	// lingerTime and maxLingerBytes bound what is read from a caller after its last response.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 1 << 20
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -3,13 +3,19 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"lentilproxy/core/budget"
+	"lentilproxy/io/hold"
 )
 
+// joinedBytes is the size from which a part of a response is not copied behind its head.
+const joinedBytes = 8 << 10
+
 // Exchange is one request and its response.
 type Exchange struct {
 	conn   *conn
@@ -18,6 +24,11 @@
 	host   string
 	header http.Header
 	body   []byte
+	// unread is set if the body has not been read because the check did not accept the request.
+	unread bool
+	// share is what the body holds, and response what buffered parts of the response hold. Both may be nil.
+	share    *hold.Share
+	response *hold.Share
 	// close is set if the caller requested that the connection be closed after the response.
 	close        bool
 	disconnected atomic.Bool
@@ -51,6 +62,24 @@
 // Body returns the complete body.
 func (exchange *Exchange) Body() []byte { return exchange.body }
 
+// Unread reports whether the body has not been read. Such a request must be refused.
+func (exchange *Exchange) Unread() bool { return exchange.unread }
+
+// ResponseShare returns what buffered parts of the response hold, or nil if nothing bounds them. They may lose their place only while
+// the caller does not read.
+func (exchange *Exchange) ResponseShare() *hold.Share {
+	if exchange.response == nil {
+		exchange.response = exchange.conn.server.pool.Open(budget.Responses, true, func() { _ = exchange.conn.raw.Close() })
+	}
+	return exchange.response
+}
+
+// release frees what the request and its response hold.
+func (exchange *Exchange) release() {
+	exchange.share.Close()
+	exchange.response.Close()
+}
+
 // Disconnected reports whether the caller has closed the connection.
 func (exchange *Exchange) Disconnected() bool { return exchange.disconnected.Load() }
 
@@ -77,10 +106,10 @@
 		fmt.Fprintf(out, "Content-Length: %d\r\n", len(body))
 	}
 	out.WriteString("\r\n")
-	if !exchange.bodiless {
-		out.Write(body)
+	if exchange.bodiless {
+		body = nil
 	}
-	exchange.complete = exchange.write(out.Bytes())
+	exchange.complete = exchange.write(out.Bytes(), body)
 }
 
 // suppress records that a second response is not sent. One that has begun and not ended stays truncated, even if End follows: what
@@ -102,11 +131,12 @@
 		out.WriteString("Transfer-Encoding: chunked\r\n")
 	}
 	out.WriteString("\r\n")
-	if !exchange.bodiless {
-		appendChunk(out, first)
-	}
 	exchange.open = true
-	return exchange.write(out.Bytes())
+	if exchange.bodiless || len(first) == 0 {
+		return exchange.write(out.Bytes())
+	}
+	appendChunkSize(out, first)
+	return exchange.write(out.Bytes(), first, lineEnd)
 }
 
 // Write sends a part of a response that Begin has begun. It reports whether this part and all before it could be sent.
@@ -117,17 +147,17 @@
 	if exchange.bodiless {
 		return !exchange.failed
 	}
+	if len(part) == 0 {
+		return exchange.write(nil)
+	}
 	var out bytes.Buffer
-	appendChunk(&out, part)
-	return exchange.write(out.Bytes())
+	appendChunkSize(&out, part)
+	return exchange.write(out.Bytes(), part, lineEnd)
 }
 
-func appendChunk(out *bytes.Buffer, part []byte) {
-	if len(part) == 0 {
-		return
-	}
-	writer := httputil.NewChunkedWriter(out)
-	_, _ = writer.Write(part)
+// appendChunkSize appends the line that begins a chunk. The chunk itself is not copied.
+func appendChunkSize(out *bytes.Buffer, part []byte) {
+	fmt.Fprintf(out, "%x\r\n", len(part))
 }
 
 // End marks a response that Begin has begun as complete, unless a part of it could not be sent. Without it, the caller receives a
@@ -164,13 +194,33 @@
 	return out
 }
 
-func (exchange *Exchange) write(content []byte) bool {
+// write sends parts of the response, and reports whether these and all before could be sent. Large parts are not copied.
+func (exchange *Exchange) write(first []byte, others ...[]byte) bool {
 	if exchange.failed {
 		return false
 	}
 	exchange.begun = true
+	if exchange.response != nil {
+		exchange.response.Expose()
+		defer exchange.response.Pin()
+	}
 	_ = exchange.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := exchange.conn.raw.Write(content)
+	exchange.conn.counted.Set(budget.Writing)
+	defer exchange.conn.counted.Set(budget.Serving)
+	size := 0
+	for _, part := range others {
+		size += len(part)
+	}
+	var err error
+	if size < joinedBytes {
+		for _, part := range others {
+			first = append(first, part...)
+		}
+		_, err = exchange.conn.raw.Write(first)
+	} else {
+		content := append(net.Buffers{first}, others...)
+		_, err = content.WriteTo(exchange.conn.raw)
+	}
 	exchange.failed = err != nil
 	return err == nil
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -1,7 +1,7 @@
 // Package front serves callers over HTTP/1.1.
 //
-// It rejects ambiguous requests, reads each request completely before it calls the handler, and handles one request at
-// a time per connection. The context of the handler is cancelled as soon as the caller disconnects. The limits may
+// It rejects ambiguous requests, reads each request completely before it calls the handler, unless its head is enough to refuse it,
+// and handles one request at a time per connection. The context of the handler is cancelled as soon as the caller disconnects. The limits may
 // change while connections are open, which the server of net/http does not allow.
 package front
 
@@ -17,6 +17,7 @@
 	"time"
 
 	"lentilproxy/core/spec"
+	"lentilproxy/io/hold"
 
 	"golang.org/x/sys/unix"
 )
@@ -37,6 +38,10 @@
 // DefaultLimits apply until a configuration is available.
 var DefaultLimits = spec.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
+// Check looks at a request whose body has not been read. It reports whether the request may be served as far as its head tells, and
+// whether its caller is known, that is, has presented a valid key.
+type Check func(exchange *Exchange) (accepted, known bool)
+
 // Handler handles one request. If it returns without a complete response, the connection is closed.
 type Handler func(ctx context.Context, exchange *Exchange)
 
@@ -45,6 +50,9 @@
 	listener net.Listener
 	handler  Handler
 	limits   func() spec.Limits
+	check    Check
+	// pool bounds what connections hold, or is nil.
+	pool *hold.Pool
 	// draining is set if connections are to be closed after their next response, and stopped once no further ones are
 	// accepted.
 	draining atomic.Bool
@@ -57,9 +65,25 @@
 	done        chan struct{}
 }
 
+// Option configures a server.
+type Option func(*Server)
+
+// WithPool bounds what all connections hold together.
+func WithPool(pool *hold.Pool) Option { return func(server *Server) { server.pool = pool } }
+
+// WithCheck sets a function that is called before the body of a request is read, unless it has arrived already. The body of a
+// request that is not accepted is not read; the handler has to refuse the request.
+func WithCheck(check Check) Option { return func(server *Server) { server.check = check } }
+
 // New starts to serve a listener. The function limits is called for every request.
-func New(listener net.Listener, limits func() spec.Limits, handler Handler) *Server {
-	server := &Server{listener: listener, handler: handler, limits: limits, conns: map[*conn]struct{}{}, done: make(chan struct{})}
+func New(listener net.Listener, limits func() spec.Limits, handler Handler, options ...Option) *Server {
+	server := &Server{
+		listener: listener, handler: handler, limits: limits, conns: map[*conn]struct{}{}, done: make(chan struct{}),
+		check: func(*Exchange) (accepted, known bool) { return true, true },
+	}
+	for _, option := range options {
+		option(server)
+	}
 	go func() {
 		defer close(server.done)
 		for {
@@ -125,11 +149,18 @@
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount})
 	}
 	conn := &conn{server: server, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	counted, allowed := server.pool.OpenConn(raw.RemoteAddr(), func() { _ = raw.Close() })
+	if !allowed {
+		_ = raw.Close()
+		return
+	}
+	conn.counted = counted
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.conns[conn] = struct{}{}
 	go func() {
 		conn.serve()
+		counted.Close()
 		server.mutex.Lock()
 		defer server.mutex.Unlock()
 		delete(server.conns, conn)
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lentilproxy/io/block"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/link"
 )
 
@@ -167,12 +168,13 @@
 	})
 }
 
-// readBody reads the body of a response completely.
-func (gate *Gate) readBody(result sendResult) ([]byte, error) {
+// readBody reads the body of a response completely. The share holds a number of copies of it.
+func (gate *Gate) readBody(result sendResult, share *hold.Share, copies int64) ([]byte, error) {
 	if result.receipt != nil {
 		result.receipt.awaited.Store(true)
 	}
-	content, err := io.ReadAll(io.LimitReader(gate.bodyReader(result.response), maxResponseBytes+1))
+	content, err := share.ReadResponse(io.LimitReader(gate.bodyReader(result.response), maxResponseBytes+1), result.response.ContentLength,
+		maxResponseBytes, copies, responsePatience)
 	switch {
 	case err != nil:
 		return nil, err
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -4,8 +4,6 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"strings"
@@ -18,6 +16,7 @@
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/setup"
 	"lentilproxy/io/engine"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/ledger"
 	"lentilproxy/io/node"
 
@@ -38,7 +37,9 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	staleRetryAfter   = time.Second
+	// maxHeadBytes bounds the head of a request.
+	maxHeadBytes    = 64 << 10
+	staleRetryAfter = time.Second
 )
 
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
@@ -51,6 +52,8 @@
 	log      logr.Logger
 	metrics  tally.Scope
 	recorder lentilproxy.Recorder
+	// pool bounds what connections hold, or is nil.
+	pool *hold.Pool
 	// client sends requests to backend servers.
 	client   *http.Client
 	mux      *http.ServeMux
@@ -72,6 +75,9 @@
 // WithMetrics sets the scope of the metrics.
 func WithMetrics(scope tally.Scope) Option { return func(gate *Gate) { gate.metrics = scope } }
 
+// WithPool bounds what all connections hold together.
+func WithPool(pool *hold.Pool) Option { return func(gate *Gate) { gate.pool = pool } }
+
 // WithRecorder sets the recorder of service levels.
 func WithRecorder(recorder lentilproxy.Recorder) Option {
 	return func(gate *Gate) { gate.recorder = recorder }
@@ -96,12 +102,17 @@
 
 // ServeHTTP implements http.Handler.
 func (gate *Gate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	hold.EndHead(request.Context())
+	// The deadline of the response before this request may be over.
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Time{})
 	gate.mux.ServeHTTP(writer, request)
 }
 
 // Server returns an HTTP server for the gate.
 func (gate *Gate) Server() *http.Server {
-	return &http.Server{Handler: gate, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: gate, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	hold.Configure(server)
+	return server
 }
 
 // BeginStop makes the gate report that it is not ready, so that the load balancer sends no new requests.
@@ -135,6 +146,9 @@
 	sample lentilproxy.Sample
 	// responseStarted is set once a part of a streamed response has been sent to the caller.
 	responseStarted bool
+	// bodyShare and responseShare are what the body and the response hold. Both may be nil.
+	bodyShare     *hold.Share
+	responseShare *hold.Share
 }
 
 // handle returns a handler that sets the request ID, makes the checks that all requests share, calls serve, and
@@ -145,6 +159,10 @@
 		defer gate.inFlight.Add(-1)
 		call := &call{gate: gate, writer: writer, request: request, id: requestID(request), receivedAt: time.Now()}
 		writer.Header().Set(HeaderRequestID, call.id)
+		defer func() {
+			call.bodyShare.Close()
+			call.responseShare.Close()
+		}()
 		refusal := call.prepare()
 		if refusal == nil {
 			refusal = serve(call)
@@ -163,16 +181,9 @@
 // prepare reads the body and makes the checks that all requests share.
 func (call *call) prepare() *refuse.Refusal {
 	call.presentedKey = bearer(call.request)
-	limit := call.gate.settings.Traffic.MaxBodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(call.writer, call.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuse.NotRun(http.StatusRequestEntityTooLarge, refuse.CodeBodyTooLarge, "the body exceeds max_body_bytes")
-	case err != nil:
-		return refuse.NotRun(http.StatusBadRequest, refuse.CodeBadRequest, "the body could not be read")
+	if refusal := call.readBody(); refusal != nil {
+		return refusal
 	}
-	call.body = body
 	if call.leaksKey() {
 		return refuse.NotRun(http.StatusBadRequest, refuse.CodeKeyInRequest, "a key must stand in the Authorization header only")
 	}
@@ -259,5 +270,6 @@
 		// A part of the response has been sent, so the caller must be able to detect that the rest is missing.
 		call.abortResponse(refusal)
 	}
+	_ = http.NewResponseController(call.writer).SetWriteDeadline(now.Add(writeTimeout))
 	writeRefusal(call.writer, refusal, call.id)
 }
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -170,7 +170,7 @@
 				is.True(stream.err != nil)
 				is.Equal(len(stream.events), 0)
 			default:
-				_, err = testGate().readBody(result)
+				_, err = testGate().readBody(result, nil, 1)
 				is.True(err != nil)
 			}
 			if result.err == nil {
--- a/io/gate/service.go
+++ b/io/gate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/value"
 	"lentilproxy/io/block"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/ledger"
 	"lentilproxy/io/node"
 
@@ -197,7 +199,11 @@
 	}
 	defer func() { _ = result.response.Body.Close() }()
 	serviceCall.gate.recordNotices(slot.Server(), result.response)
-	content, err := serviceCall.gate.readBody(result)
+	content, err := serviceCall.gate.readBody(result, serviceCall.openResponse(), serviceCall.copies())
+	if errors.Is(err, hold.ErrNoRoom) {
+		serviceCall.gate.watch(serviceCall.run, slot.Address())
+		return response{}, noRoomForResponse(), true
+	}
 	if err != nil {
 		return response{}, serviceCall.handleExchangeError(ctx, slot, true), true
 	}
@@ -303,5 +309,5 @@
 		serviceCall.writer.Header().Set("Content-Type", response.contentType)
 	}
 	serviceCall.writer.WriteHeader(response.status)
-	_, _ = serviceCall.writer.Write(response.body)
+	_ = serviceCall.write(response.body)
 }
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -5,12 +5,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"lentilproxy/core/place"
+	"lentilproxy/core/budget"
 	"lentilproxy/core/refuse"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/link"
 	"lentilproxy/io/node"
 )
@@ -22,6 +25,12 @@
 	freshCheckInterval = 50 * time.Millisecond
 	// maxBufferedEvents bounds the events that are buffered while a stream is held back.
 	maxBufferedEvents = 256
+	// maxBufferedBytes is the size from which no more events are buffered, and freeBufferedBytes the size up to which they cost no
+	// reservation.
+	maxBufferedBytes  = 64 << 10
+	freeBufferedBytes = 16 << 10
+	// roomCheckInterval is how often a stream that waits for its caller checks whether events have been read.
+	roomCheckInterval = 5 * time.Millisecond
 )
 
 var (
@@ -46,7 +55,11 @@
 
 // relayBody forwards a response that is not streamed.
 func (completion *completion) relayBody(slot *node.Slot, response *http.Response) (*refuse.Refusal, bool) {
-	content, err := completion.gate.readBody(sendResult{response: response})
+	content, err := completion.gate.readBody(sendResult{response: response}, completion.openResponse(), completion.copies())
+	if errors.Is(err, hold.ErrNoRoom) {
+		completion.gate.watch(completion.run, slot.Address())
+		return noRoomForResponse(), false
+	}
 	if err != nil {
 		return completion.handleIncomplete(slot)
 	}
@@ -66,7 +79,7 @@
 	completion.writer.Header().Set(HeaderVersion, completion.model)
 	completion.setTimingHeader()
 	completion.writer.WriteHeader(http.StatusOK)
-	_, _ = completion.writer.Write(public)
+	_ = completion.write(public)
 	return nil, false
 }
 
@@ -135,11 +148,17 @@
 	// err is set before events is closed.
 	err         error
 	lastEventAt time.Time
+	// buffered counts the bytes in events. The share is what they hold, and held how many bytes it has granted; only read uses both.
+	buffered atomic.Int64
+	share    *hold.Share
+	held     int64
 }
 
 // read reads events until the response ends, or until another response begins. Either may break off an event, which is then dropped.
 func (stream *stream) read(ctx context.Context, response *http.Response) {
 	defer close(stream.events)
+	stream.share = stream.completion.gate.pool.Open(budget.Responses, true, func() {})
+	defer stream.share.Close()
 	scanner := bufio.NewScanner(stream.completion.gate.bodyReader(response))
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitEvents)
@@ -154,6 +173,9 @@
 			if !found {
 				continue
 			}
+			if !stream.awaitRoom(ctx, int64(len(content))) {
+				return
+			}
 			select {
 			case stream.events <- bytes.Clone(content):
 			case <-ctx.Done():
@@ -165,6 +187,36 @@
 	stream.err = scanner.Err()
 }
 
+// awaitRoom waits while many bytes are buffered that the caller has not read. It returns false if the stream has to end.
+func (stream *stream) awaitRoom(ctx context.Context, bytes int64) bool {
+	for stream.buffered.Load() > maxBufferedBytes {
+		select {
+		case <-time.After(roomCheckInterval):
+		case <-ctx.Done():
+			stream.err = ctx.Err()
+			return false
+		}
+	}
+	buffered := stream.buffered.Add(bytes)
+	if buffered > max(stream.held, freeBufferedBytes) {
+		if !stream.share.Grow(buffered-stream.held, responsePatience) {
+			stream.err = hold.ErrNoRoom
+			return false
+		}
+		stream.held = buffered
+	}
+	return true
+}
+
+// end handles the end of a response without the end marker.
+func (stream *stream) end() (*refuse.Refusal, bool) {
+	if errors.Is(stream.err, hold.ErrNoRoom) {
+		stream.completion.gate.watch(stream.completion.run, stream.slot.Address())
+		return noRoomForResponse(), false
+	}
+	return stream.completion.handleIncomplete(stream.slot)
+}
+
 // beginsResponse reports whether a response begins on a line of an event that is no field and no comment, up to there.
 func beginsResponse(event []byte) bool {
 	for line := range bytes.Lines(event) {
@@ -204,8 +256,9 @@
 			return refuse.MaybeRun(http.StatusGatewayTimeout, refuse.CodeTimeout, "the request took too long"), false
 		case content, open := <-stream.events:
 			if !open {
-				return completion.handleIncomplete(stream.slot)
+				return stream.end()
 			}
+			stream.buffered.Add(-int64(len(content)))
 			if bytes.Equal(content, doneMarker) {
 				return stream.finish(ctx)
 			}
@@ -262,8 +315,7 @@
 	event = append(event, content...)
 	event = append(event, '\n', '\n')
 	controller := http.NewResponseController(completion.writer)
-	_ = controller.SetWriteDeadline(time.Now().Add(place.RequestDeadline))
-	if _, err := completion.writer.Write(event); err != nil {
+	if err := completion.write(event); err != nil {
 		return err
 	}
 	return controller.Flush()
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -13,15 +13,26 @@
 	"lentilproxy/core/spec"
 	"lentilproxy/io/block"
 	"lentilproxy/io/clock"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/link"
 )
 
 var errResponseTooLong = errors.New("the response is too long to be buffered")
 
-// readBody reads a body of up to maxBufferedBytes.
-func readBody(response *link.Response) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-	if err == nil && len(content) > maxBufferedBytes {
+const (
+	// relayBytes is the size of the buffer of a response that is passed on as it arrives, and minRelayBytes its size while memory is
+	// scarce.
+	relayBytes    = 32 << 10
+	minRelayBytes = 4 << 10
+	// responsePatience is how long a response waits for memory before it is passed on as it arrives.
+	responsePatience = 300 * time.Millisecond
+)
+
+// readBody reads a body of up to maxBufferedBytes. While memory is scarce, a shorter one is too long too: the rest is passed on as it
+// arrives.
+func (call *call) readBody(response *link.Response) ([]byte, error) {
+	content, err := call.exchange.ResponseShare().ReadResponse(io.LimitReader(response, maxBufferedBytes+1), -1, maxBufferedBytes, 1, responsePatience)
+	if errors.Is(err, hold.ErrNoRoom) || err == nil && len(content) > maxBufferedBytes {
 		return content, errResponseTooLong
 	}
 	return content, err
@@ -30,7 +41,7 @@
 // relayResponse relays a response that is not a stream. It reads the response to its end first, so that another server
 // can be tried if it breaks off.
 func (call *call) relayResponse(server spec.Server, run *sched.Run, response *link.Response) (attemptResult, *refuse.Refusal) {
-	content, err := readBody(response)
+	content, err := call.readBody(response)
 	if errors.Is(err, errResponseTooLong) && response.Status() >= http.StatusMultipleChoices {
 		call.watch(server, true)
 		return call.handleBadResponse(server, "the backend server's error response has no end")
@@ -144,7 +155,13 @@
 	if !call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), first) {
 		return call.handleCallerGone(server)
 	}
-	buffer := make([]byte, maxBufferedBytes)
+	// What was buffered has been sent.
+	call.exchange.ResponseShare().Close()
+	size := relayBytes
+	if !call.exchange.ResponseShare().Grow(relayBytes, 0) {
+		size = minRelayBytes
+	}
+	buffer := make([]byte, size)
 	for {
 		count, err := response.Read(buffer)
 		if count > 0 && !call.exchange.Write(buffer[:count]) {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -132,6 +132,12 @@
 	status    int
 }
 
+// Check implements front.Check. It reports whether the head of a request names a route that its caller may use.
+func (service *Service) Check(exchange *front.Exchange) (accepted, known bool) {
+	call := &call{service: service, exchange: exchange, view: service.coordinator.View(), receivedAt: clock.Now()}
+	return call.identify() == nil, call.workspace.Name != ""
+}
+
 // Handle implements front.Handler.
 func (service *Service) Handle(ctx context.Context, exchange *front.Exchange) {
 	call := &call{
@@ -148,8 +154,8 @@
 	call.finish(refusal)
 }
 
-// admit decides whether the request may be served.
-func (call *call) admit(ctx context.Context) *refuse.Refusal {
+// identify finds out from its head which route the request is for, and whether its caller may use the route.
+func (call *call) identify() *refuse.Refusal {
 	info, err := call.service.dialect.DecodeRequest(call.exchange.Header())
 	call.info = info
 	if err != nil {
@@ -174,10 +180,19 @@
 	if call.deadline.Before(call.firstEventDeadline) {
 		call.firstEventDeadline = call.deadline
 	}
-	if refusal := call.authenticate(); refusal != nil {
+	return call.authenticate()
+}
+
+// admit decides whether the request may be served.
+func (call *call) admit(ctx context.Context) *refuse.Refusal {
+	if refusal := call.identify(); refusal != nil {
 		return refusal
 	}
-	target, found := call.view.Config.Service(chooseTarget(call.route.Targets, info.ID))
+	if call.exchange.Unread() {
+		// The head did not allow the request, and a configuration that does has arrived since.
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNotConfigured, "the configuration has changed").WithRetryAfter(configRetryAfter)
+	}
+	target, found := call.view.Config.Service(chooseTarget(call.route.Targets, call.info.ID))
 	if !found {
 		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "the route's service is not declared").WithRetryAfter(capacityRetryAfter)
 	}
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -13,11 +13,17 @@
 	"lentilproxy/core/spec"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/coord"
+	"lentilproxy/io/hold"
 	"lentilproxy/io/link"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 256 << 10
+	// freeEventBytes is the size up to which pending events cost no reservation, and eventPatience how long a stream waits for one.
+	freeEventBytes = 16 << 10
+	eventPatience  = 300 * time.Millisecond
+)
 
 var (
 	errEventTooLong = errors.New("an event of the stream is too long")
@@ -32,6 +38,9 @@
 	pending []byte
 	buffer  []byte
 	err     error
+	// grow reserves memory for pending bytes, and held is how many it has granted. It may be nil.
+	grow func(bytes int64) bool
+	held int
 }
 
 func newEventReader(source io.Reader) *eventReader {
@@ -55,7 +64,21 @@
 		count, err := eventReader.source.Read(eventReader.buffer)
 		eventReader.pending = append(eventReader.pending, eventReader.buffer[:count]...)
 		eventReader.err = err
+		if !eventReader.reserve() {
+			return nil, hold.ErrNoRoom
+		}
+	}
+}
+
+// reserve reserves memory for long events. It returns false if there is none.
+func (eventReader *eventReader) reserve() bool {
+	size := cap(eventReader.pending)
+	if eventReader.grow == nil || size <= max(eventReader.held, freeEventBytes) {
+		return true
 	}
+	granted := eventReader.grow(int64(size - eventReader.held))
+	eventReader.held = size
+	return granted
 }
 
 // completeEventsLength returns the length of the complete events at the beginning of the content.
@@ -106,6 +129,7 @@
 // relayStream relays a stream in complete events. A broken stream is resumed on another server if the route allows it.
 func (call *call) relayStream(server spec.Server, run *sched.Run, prompt *coord.Prompt, response *link.Response) (attemptResult, *refuse.Refusal) {
 	eventReader := newEventReader(response)
+	eventReader.grow = func(bytes int64) bool { return call.exchange.ResponseShare().Grow(bytes, eventPatience) }
 	objective := call.view.Config.GapObjective(call.target.Name)
 	var lastAt time.Time
 	for {
