Connections are also bounded by memory; fewer searches for transfers to evict

A host with little memory and many descriptors could spend its memory on connections alone. Each waiting transfer searched for transfers to evict on each try, which costs the square of their number; one search in 10 ms takes the place of enough stalled ones. Times of connections need no system call. TestConnsAtTheirLimit opened its connections at the same time, so that any of several could be evicted; it failed in one of two runs.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -13,6 +13,10 @@
 	StallTime = time.Second
 	// MinRate is the rate in bytes per second below which a transfer counts as stalled. It matters only while bytes are scarce.
 	MinRate = 16 << 10
+	// evictionInterval is the time between two searches for transfers that lose their place, whose cost grows with their number.
+	evictionInterval = 10 * time.Millisecond
+	// spareFraction is the fraction of the budget by which stalled transfers lose their place beyond what is needed at once.
+	spareFraction = 1.0 / 16
 )
 
 // Purpose is what bytes are held for.
@@ -95,6 +99,8 @@
 	leaving int64
 	held    [purposes]int64
 	open    map[*Reservation]struct{}
+	// searchAt is the earliest time of the next search.
+	searchAt time.Time
 }
 
 // New returns a budget of a number of bytes.
@@ -154,11 +160,13 @@
 // evict takes their place from as many reservations as a transfer needs to grow.
 func (budget *Budget) evict(now time.Time, grown *Reservation, bytes int64) {
 	missing := budget.used - budget.leaving + bytes - budget.total
-	if missing <= 0 {
+	if missing <= 0 || now.Before(budget.searchAt) {
 		return
 	}
+	budget.searchAt = now.Add(evictionInterval)
+	spare := int64(spareFraction * float64(budget.total))
 	for _, candidate := range budget.candidates(now, grown, bytes) {
-		if missing <= 0 {
+		if missing <= -spare || missing <= 0 && !candidate.Stalled(now) {
 			return
 		}
 		candidate.evicted = true
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -118,7 +118,7 @@
 // At the limit of connections, a crowd of one caller must not close the connections of others, and a load balancer that is the only
 // address must be able to use all of them.
 func TestConnsAtTheirLimit(t *testing.T) {
-	later := start.Add(minUnread)
+	later := start.Add(2 * minUnread)
 	for name, test := range map[string]struct {
 		states  []State
 		address []string
@@ -139,9 +139,10 @@
 			conns := NewConns(len(test.states))
 			evicted := ""
 			for index, state := range test.states {
-				conn, closed := conns.Open(start, test.address[index], func() { evicted += string(rune('0' + index)) })
+				at := start.Add(time.Duration(index) * time.Millisecond)
+				conn, closed := conns.Open(at, test.address[index], func() { evicted += string(rune('0' + index)) })
 				is.True(conn != nil && closed == 0)
-				is.True(conn.Set(start, state))
+				is.True(conn.Set(at, state))
 			}
 			opened, _ := conns.Open(later, test.opened, func() {})
 			is.Equal(opened == nil, test.refused)
@@ -170,6 +171,8 @@
 	is := is.New(t)
 	is.True(Bytes(144_000_000) > 4*4<<20)
 	is.True(RuntimeLimit(144_000_000) < 144_000_000)
-	is.True(2*Connections(3000) <= 3000-reservedDescriptors)
-	is.True(Connections(3000) > 1000)
+	is.True(2*Connections(804_000_000, 3000) <= 3000-reservedDescriptors)
+	is.True(Connections(804_000_000, 3000) > 1000)
+	is.True(Connections(144_000_000, 12_000) > 500)
+	is.True(int64(Connections(144_000_000, 12_000))*connectionBytes+Bytes(144_000_000)+baseBytes < RuntimeLimit(144_000_000))
 }
--- a/core/budget/limits.go
+++ b/core/budget/limits.go
@@ -17,6 +17,10 @@
 	// reservedDescriptors and reservedFraction are kept for listeners, peers, the store, health checks and logs.
 	reservedDescriptors = 32
 	reservedFraction    = 1.0 / 16
+	// connectionBytes is the memory of a connection with its read buffer, its goroutines, and what is free of the budget, and
+	// connectionFraction the part of the runtime's limit that all connections may use.
+	connectionBytes    = 32 << 10
+	connectionFraction = 0.3
 	// minConnections is the least limit of callers' connections.
 	minConnections = 16
 )
@@ -31,9 +35,10 @@
 	return max(minBudgetBytes, int64(budgetFraction*float64(RuntimeLimit(memory)-baseBytes)))
 }
 
-// Connections returns the limit of callers' connections of a process that may use some descriptors. Each request in progress takes
-// one descriptor for its caller and one for its server.
-func Connections(descriptors int) int {
+// Connections returns the limit of callers' connections of a process that may use some memory and descriptors. Each request in progress
+// takes one descriptor for its caller and one for its server.
+func Connections(memory int64, descriptors int) int {
 	reserve := max(reservedDescriptors, int(reservedFraction*float64(descriptors)))
-	return max(minConnections, (descriptors-reserve)/2)
+	byMemory := int(connectionFraction * float64(RuntimeLimit(memory)) / connectionBytes)
+	return max(minConnections, min((descriptors-reserve)/2, byMemory))
 }
--- a/io/hold/hold.go
+++ b/io/hold/hold.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"lentilproxy/core/budget"
-	"lentilproxy/io/clock"
 
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
@@ -18,9 +17,15 @@
 	// reportInterval is the time between two log lines with the same reason, and between two updates of the metrics.
 	reportInterval = time.Second
 	// pollInterval is the time between two tries of a transfer that waits for room.
-	pollInterval = 10 * time.Millisecond
+	pollInterval = 25 * time.Millisecond
 )
 
+// startedAt is the origin of the times of this package.
+var startedAt = time.Now()
+
+// now returns the present time, which does not jump with the wall clock. Unlike that of package clock, it costs no system call.
+func now() time.Time { return startedAt.Add(time.Since(startedAt)) }
+
 // Reason says why something was refused or closed.
 type Reason string
 
@@ -60,14 +65,14 @@
 // New returns a pool for a process that may use some memory, in bytes, and some descriptors.
 func New(memory int64, descriptors int, options ...Option) *Pool {
 	pool := &Pool{
-		log: logr.Discard(), metrics: tally.NoopScope, budget: budget.New(budget.Bytes(memory)), conns: budget.NewConns(budget.Connections(descriptors)),
+		log: logr.Discard(), metrics: tally.NoopScope, budget: budget.New(budget.Bytes(memory)), conns: budget.NewConns(budget.Connections(memory, descriptors)),
 		counts: map[Reason]int64{}, stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(pool)
 	}
 	pool.log.Info("limits of callers", "memory_mb", memory/1_000_000, "budget_mb", pool.budget.Total()/1_000_000, "descriptors", descriptors,
-		"connections", budget.Connections(descriptors))
+		"connections", budget.Connections(memory, descriptors))
 	go func() {
 		defer close(pool.done)
 		ticker := time.NewTicker(reportInterval)
@@ -143,7 +148,7 @@
 	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	conn, evicted := pool.conns.Open(clock.Now(), address, evict)
+	conn, evicted := pool.conns.Open(now(), address, evict)
 	if evicted > 0 {
 		pool.counts[ConnectionEvicted] += int64(evicted)
 	}
@@ -162,7 +167,7 @@
 
 // Set changes the state of the connection. It returns false if the connection has been closed for another one.
 func (conn *Conn) Set(state budget.State) bool {
-	return conn == nil || conn.conn.Set(clock.Now(), state)
+	return conn == nil || conn.conn.Set(now(), state)
 }
 
 // Close ends the count of the connection.
@@ -201,14 +206,14 @@
 	if share == nil {
 		return true
 	}
-	deadline := clock.Now().Add(patience)
+	deadline := now().Add(patience)
 	for {
-		now := clock.Now()
-		granted, evicted := share.tryGrow(now, bytes)
+		at := now()
+		granted, evicted := share.tryGrow(at, bytes)
 		if granted || evicted {
 			return granted
 		}
-		if !now.Before(deadline) {
+		if !at.Before(deadline) {
 			if patience > 0 {
 				share.refused()
 			}
@@ -291,5 +296,5 @@
 	}
 	share.pool.mutex.Lock()
 	defer share.pool.mutex.Unlock()
-	change(clock.Now())
+	change(now())
 }
