--- a/io/gate/transfer.go
+++ b/io/gate/transfer.go
@@ -15,6 +15,9 @@
 const (
 	// bodyTimeout bounds the time to read the body of a request.
 	bodyTimeout = 30 * time.Second
+	// maxDiscardBytes is the size up to which the body of a refused request is discarded, and discardTimeout bounds the time for it.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 2 * time.Second
 	// writeTimeout bounds the time for which a caller that does not read may block the write of a piece of a response.
 	writeTimeout = 10 * time.Second
 	// writePieceBytes is the size of these pieces.
@@ -111,7 +114,10 @@
 		known = verdict == keys.Valid
 	}
 	call.keyID, call.workspace = "", ""
-	if refusal != nil {
+	if length := call.request.ContentLength; refusal != nil && length >= 0 && length <= maxDiscardBytes {
+		// The server discards the body, and keeps the connection.
+		_ = http.NewResponseController(call.writer).SetReadDeadline(time.Now().Add(discardTimeout))
+	} else if refusal != nil {
 		call.writer.Header().Set("Connection", "close")
 	}
 	return known, refusal
--- a/io/hold/body.go
+++ b/io/hold/body.go
@@ -33,9 +33,9 @@
 
 func (share *Share) readAll(source io.Reader, announced, limit, copies, free int64, patience time.Duration) ([]byte, error) {
 	if announced < 0 || announced > limit {
-		announced = limit + 1
+		announced = limit
 	}
-	// A larger body than announced does not exist, and io.EOF is found with the last byte only if there is room for one more.
+	// There is room for one byte more, in which the end of the body, or that it is too long, is found.
 	content := make([]byte, 0, min(announced+1, 512))
 	var held int64
 	for {
@@ -57,7 +57,7 @@
 		if errors.Is(err, io.EOF) {
 			return content, nil
 		}
-		if err != nil || int64(len(content)) > limit {
+		if err != nil || int64(len(content)) > announced {
 			return content, err
 		}
 	}
