--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -76,7 +76,7 @@
 		checkServer(next, resource.BackendServer, report)
 	case KindLimit:
 		checkLimit(next, resource, report)
-	case KindRoster, KindOwner:
+	case KindDataCentre, KindRoster, KindOwner:
 	default:
 		report("", "unknown kind %q", resource.Kind)
 	}
--- a/core/conf/kinds.go
+++ b/core/conf/kinds.go
@@ -20,6 +20,7 @@
 	KindVersion       Kind = "version"
 	KindRoute         Kind = "route"
 	KindBackendServer Kind = "backend_server"
+	KindDataCentre    Kind = "data_centre"
 	KindLimit         Kind = "limit"
 	KindRoster        Kind = "roster"
 	KindOwner         Kind = "owner"
@@ -29,7 +30,7 @@
 const RosterName = "main"
 
 // OperatorKinds lists the kinds that operators may declare, in the order of their dependencies.
-var OperatorKinds = []Kind{KindWorkspace, KindLimit, KindKey, KindBackendServer, KindAdapter, KindVersion, KindRoute}
+var OperatorKinds = []Kind{KindWorkspace, KindLimit, KindKey, KindDataCentre, KindBackendServer, KindAdapter, KindVersion, KindRoute}
 
 // Ref identifies a resource.
 type Ref struct {
@@ -57,6 +58,7 @@
 	Version       *Version       `json:"version,omitempty"`
 	Route         *Route         `json:"route,omitempty"`
 	BackendServer *BackendServer `json:"backend_server,omitempty"`
+	DataCentre    *DataCentre    `json:"data_centre,omitempty"`
 	Limit         *Limit         `json:"limit,omitempty"`
 	Roster        *Roster        `json:"roster,omitempty"`
 	Owner         *Owner         `json:"owner,omitempty"`
@@ -71,6 +73,7 @@
 		KindWorkspace: resource.Workspace != nil, KindKey: resource.APIKey != nil, KindAdapter: resource.Adapter != nil,
 		KindVersion: resource.Version != nil, KindRoute: resource.Route != nil, KindLimit: resource.Limit != nil,
 		KindBackendServer: resource.BackendServer != nil, KindRoster: resource.Roster != nil, KindOwner: resource.Owner != nil,
+		KindDataCentre: resource.DataCentre != nil,
 	}
 	for kind, set := range present {
 		if set != (kind == resource.Kind) {
@@ -142,6 +145,12 @@
 	Draining bool `json:"draining,omitempty" ini:"draining"`
 }
 
+// DataCentre is a data centre. One that is not declared does not drain.
+type DataCentre struct {
+	// Draining means that none of the data centre's backend servers gets new work.
+	Draining bool `json:"draining,omitempty" ini:"draining"`
+}
+
 // Limit is the token bucket of a workspace, shared by all hosts. It is named after the workspace.
 type Limit struct {
 	RateTokensPerSecond float64 `json:"rate_tokens_per_second" ini:"rate_tokens_per_second"`
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -75,6 +75,9 @@
 	case KindBackendServer:
 		resource.BackendServer = &BackendServer{MaxInFlight: DefaultMaxInFlight, Pool: DefaultPool}
 		return resource.BackendServer
+	case KindDataCentre:
+		resource.DataCentre = &DataCentre{}
+		return resource.DataCentre
 	default:
 		resource.Limit = &Limit{}
 		return resource.Limit
--- a/core/conf/state.go
+++ b/core/conf/state.go
@@ -173,6 +173,20 @@
 	return state.servers(func(server *BackendServer) bool { return server.Service == service })
 }
 
+// Draining reports whether a backend server gets no new work, since it or its data centre drains.
+func (state *State) Draining(server *BackendServer) bool {
+	if server.Draining {
+		return true
+	}
+	resource := state.Get(Ref{KindDataCentre, server.DataCentre})
+	return resource != nil && resource.DataCentre.Draining
+}
+
+// HasDataCentre reports whether a backend server is in a data centre.
+func (state *State) HasDataCentre(name string) bool {
+	return len(state.servers(func(server *BackendServer) bool { return server.DataCentre == name })) > 0
+}
+
 func (state *State) servers(wanted func(*BackendServer) bool) []*Resource {
 	var servers []*Resource
 	for _, resource := range state.List(KindBackendServer) {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -80,11 +80,13 @@
 	Key  string `json:"key,omitempty"`
 }
 
-// NamedRequest names a key to withdraw or a backend server to drain.
+// NamedRequest names a key to withdraw, or a backend server or a data centre to drain.
 type NamedRequest struct {
 	Token string `json:"token"`
 	Name  string `json:"name"`
-	// Undo ends the drain of a server.
+	// DataCentre is set if Name is a data centre to drain.
+	DataCentre bool `json:"data_centre,omitempty"`
+	// Undo ends the drain.
 	Undo bool `json:"undo,omitempty"`
 }
 
@@ -381,6 +383,10 @@
 	if !valid {
 		return
 	}
+	if request.DataCentre {
+		admin.drainDataCentre(ctx, request)
+		return
+	}
 	ref := conf.Ref{Kind: conf.KindBackendServer, Name: request.Name}
 	old := admin.node.View().State().Get(ref)
 	if old == nil {
@@ -395,6 +401,22 @@
 	}))
 }
 
+// drainDataCentre drains a data centre, which need not be declared, or ends its drain.
+func (admin *Admin) drainDataCentre(ctx iris.Context, request NamedRequest) {
+	state, ref := admin.node.View().State(), conf.Ref{Kind: conf.KindDataCentre, Name: request.Name}
+	var generation int64
+	if old := state.Get(ref); old != nil {
+		generation = old.Generation
+	} else if !state.HasDataCentre(request.Name) {
+		notFound(ctx, ref)
+		return
+	}
+	resource := conf.Resource{Kind: ref.Kind, Name: ref.Name, DataCentre: &conf.DataCentre{Draining: !request.Undo}}
+	admin.respond(ctx, admin.commit(ctx, ApplyRequest{
+		Token: request.Token, Resources: []conf.Resource{resource}, Generations: map[string]int64{ref.String(): generation},
+	}))
+}
+
 func notFound(ctx iris.Context, ref conf.Ref) {
 	ctx.StatusCode(http.StatusNotFound)
 	_ = ctx.JSON(ApplyResult{Outcome: node.Rejected, Faults: []Fault{{Kind: ref.Kind, Name: ref.Name, Message: "does not exist"}}})
--- a/io/node/notices.go
+++ b/io/node/notices.go
@@ -41,8 +41,9 @@
 // ServicePause returns the time until the first server of a plain service takes requests again, or 0 if one does now.
 func (node *Node) ServicePause(service string) time.Duration {
 	var names []string
-	for _, resource := range node.View().state.ServiceServers(service) {
-		if !resource.BackendServer.Draining {
+	state := node.View().state
+	for _, resource := range state.ServiceServers(service) {
+		if !state.Draining(resource.BackendServer) {
 			names = append(names, resource.Name)
 		}
 	}
@@ -63,7 +64,7 @@
 	defer traffic.mutex.Unlock()
 	var names []string
 	for _, permit := range traffic.permits.Usable(now, model) {
-		if resource := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: permit.Engine}); resource != nil && !resource.BackendServer.Draining {
+		if resource := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: permit.Engine}); resource != nil && !state.Draining(resource.BackendServer) {
 			names = append(names, permit.Engine)
 		}
 	}
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -77,7 +77,7 @@
 		if server.Pool == pool {
 			found = append(found, place.EngineSpec{
 				Name: resource.Name, DataCentre: server.DataCentre, BaseModel: server.BaseModel,
-				Slots: server.Slots, Draining: server.Draining,
+				Slots: server.Slots, Draining: state.Draining(server),
 			})
 		}
 	}
--- a/io/node/services.go
+++ b/io/node/services.go
@@ -31,8 +31,9 @@
 func (node *Node) ReserveService(service, affinity string, avoid value.Set[string]) *ServiceSlot {
 	addresses := map[string]string{}
 	var candidates []route.Candidate
-	for _, resource := range node.View().state.ServiceServers(service) {
-		if !resource.BackendServer.Draining {
+	state := node.View().state
+	for _, resource := range state.ServiceServers(service) {
+		if !state.Draining(resource.BackendServer) {
 			addresses[resource.Name] = resource.BackendServer.Address
 			candidates = append(candidates, candidate(resource))
 		}
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -222,7 +222,7 @@
 	avoided := false
 	for _, permit := range traffic.permits.Usable(now, waiter.request.Model) {
 		resource := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: permit.Engine})
-		if resource == nil || resource.BackendServer.Draining {
+		if resource == nil || state.Draining(resource.BackendServer) {
 			continue
 		}
 		if !waiter.avoid.Has(permit.Engine) {
@@ -254,7 +254,7 @@
 	var candidates []route.Candidate
 	for _, permit := range traffic.permits.Usable(now, model) {
 		resource := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: permit.Engine})
-		if resource == nil || resource.BackendServer.Draining {
+		if resource == nil || state.Draining(resource.BackendServer) {
 			continue
 		}
 		permits[permit.Engine] = permit
--- a/io/proc/faults_test.go
+++ b/io/proc/faults_test.go
@@ -309,6 +309,44 @@
 	is.Equal(engineStats(t, fleet.engines[1]).Completions, before) // the platform's host list drains the server as well
 }
 
+// Guards against requests to the servers of a drained data centre, of engines and of plain services, and against a drain that cannot
+// be taken back.
+func TestDrainDataCentre(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := newFleet(t, fleetOptions{hosts: 2, engines: 2})
+	operators := fleet.hosts[1].operatorAddress
+	fleet.apply(strings.Replace(fleet.resources(defaultLimit), "data_centre = dc-1", "data_centre = dc-2", 1))
+	complete := func(host *host) {
+		for number := range 4 {
+			is.True(send(host, "/v1/completions", fleet.key, completionBody(fmt.Sprintf("shop/a%d", number), 1)).complete())
+		}
+	}
+	_, unknown := runCtl(t, operators, "drain", "--data-centre", "nowhere")
+	is.True(unknown != 0)
+	output, code := runCtl(t, operators, "drain", "--data-centre", "dc-2")
+	if code != 0 {
+		t.Fatalf("drain ended with %d: %s", code, output)
+	}
+	time.Sleep(4 * time.Second)
+	before := engineStats(t, fleet.engines[0]).Completions
+	for _, host := range fleet.hosts {
+		complete(host)
+	}
+	is.Equal(engineStats(t, fleet.engines[0]).Completions, before)
+	_, code = runCtl(t, operators, "drain", "--data-centre", "--undo", "dc-2")
+	is.Equal(code, 0)
+	_, code = runCtl(t, operators, "drain", "--data-centre", "dc-1")
+	is.Equal(code, 0)
+	time.Sleep(4 * time.Second)
+	before = engineStats(t, fleet.engines[1]).Completions
+	for _, host := range fleet.hosts {
+		complete(host)
+		is.Equal(send(host, "/services/stock/1", fleet.key, "").status, http.StatusServiceUnavailable)
+	}
+	is.Equal(engineStats(t, fleet.engines[1]).Completions, before)
+}
+
 // A caller that reads slowly gets the complete response, and does not delay other callers.
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
--- a/io/shell/operate.go
+++ b/io/shell/operate.go
@@ -85,14 +85,15 @@
 	Args struct {
 		Name string `positional-arg-name:"NAME" required:"true"`
 	} `positional-args:"true"`
-	Undo bool `long:"undo" description:"take the server back into service"`
+	DataCentre bool `long:"data-centre" description:"NAME is a data centre, all of whose servers are drained"`
+	Undo       bool `long:"undo" description:"take the server or data centre back into service"`
 
 	globals *globals
 }
 
 // Execute implements flags.Commander.
 func (command *drainCommand) Execute([]string) error {
-	return command.globals.change("/v1/drain", admin.NamedRequest{Token: uuid.NewString(), Name: command.Args.Name, Undo: command.Undo})
+	return command.globals.change("/v1/drain", admin.NamedRequest{Token: uuid.NewString(), Name: command.Args.Name, DataCentre: command.DataCentre, Undo: command.Undo})
 }
 
 func (globals *globals) change(path string, request admin.NamedRequest) error {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -48,7 +48,7 @@
 	Watch    watchCommand    `command:"watch" description:"print each new revision and when it is in force"`
 	Delete   deleteCommand   `command:"delete" description:"remove a resource"`
 	Key      keyCommands     `command:"key" description:"grant and withdraw keys"`
-	Drain    drainCommand    `command:"drain" description:"take a backend server out of service, or back"`
+	Drain    drainCommand    `command:"drain" description:"take a backend server or a data centre out of service, or back"`
 	Status   statusCommand   `command:"status" description:"show hosts, the revisions that they hold, pools and limits"`
 	Report   reportCommands  `command:"report" description:"print reports"`
 	Complete completeCommand `command:"completion" description:"print the completion script for bash"`
