--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -7,6 +7,7 @@
 
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
+	"lentilproxy/core/warm"
 
 	"github.com/matryer/is"
 )
@@ -309,3 +310,59 @@
 	is.True(!health.ejected(later, 0))
 	is.Equal(health.errorEjections, 0)
 }
+
+// Guards against requests to evacuated servers, also if there is no other one, and against a pause of such a server that refuses
+// requests which others could take.
+func TestEvacuatedServersAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	for _, service := range []spec.Service{chat, orders} {
+		all := servers(service.Name, 2)
+		scheduler := newScheduler(all)
+		evacuate := func(name string, evacuated bool) {
+			server := all[name]
+			server.Evacuated = evacuated
+			all[name] = server
+		}
+		evacuate(service.Name+"-0", true)
+		choice, found := scheduler.Choose(start, service, all, Job{})
+		is.True(found)
+		is.Equal(choice.Server.ID, service.Name+"-1")
+		evacuate(service.Name+"-1", true)
+		_, found = scheduler.Choose(start, service, all, Job{})
+		is.True(!found)
+		evacuate(service.Name+"-0", false)
+		scheduler.RecordPause(start, all[service.Name+"-0"].Incarnation(), time.Second)
+		is.Equal(scheduler.PauseOf(start, service, all), time.Second)
+	}
+}
+
+// Guards against cold servers that get as much as others: they get less at first, and more as their cold time ends.
+func TestColdServersGetLess(t *testing.T) {
+	is := is.New(t)
+	all := servers("orders", 2)
+	cold := all["orders-0"]
+	cold.ColdUntil = start.Add(10 * time.Second)
+	all["orders-0"] = cold
+	gate := warm.New("host-1")
+	gate.Update(start, all)
+	scheduler := New("dc-9", WithGate(gate))
+	scheduler.UpdateServers(all)
+	counts := func(now time.Time) int {
+		count := 0
+		var runs []*Run
+		for range 12 {
+			choice, _ := scheduler.Choose(now, orders, all, Job{})
+			if choice.Server.ID == "orders-0" {
+				count++
+			}
+			runs = append(runs, scheduler.Start(now, choice.Server, Job{}))
+		}
+		for _, run := range runs {
+			scheduler.End(run)
+		}
+		return count
+	}
+	is.Equal(counts(start), 4)
+	is.Equal(counts(start.Add(5*time.Second)), 5)
+	is.Equal(counts(start.Add(10*time.Second)), 6)
+}
--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -111,3 +111,20 @@
 		}
 	})
 }
+
+// Guards against a host that does not start because the platform's settings lack the bounds of cold servers, and against other values
+// that may be empty.
+func TestBoundsOfColdServersMayBeEmpty(t *testing.T) {
+	is := is.New(t)
+	settings, faults := parse(valid + "[bounds]\ncold_overage = \ncold_allowance =\n")
+	is.Equal(faults, "[]")
+	is.Equal(settings.Bounds, DefaultBounds())
+	settings, faults = parse(valid + "[bounds]\ncold_overage = 1.5\ncold_allowance = 5\n")
+	is.Equal(faults, "[]")
+	is.Equal(settings.Bounds.ColdOverage, 1.5)
+	is.Equal(settings.Bounds.ColdAllowance, 5.0)
+	for key, fault := range map[string]string{"cold_overage = -1": "must not be negative", "cold_allowance = x": "is not a number", "retry_ratio = ": "is not a number"} {
+		_, faults = parse(valid + "[bounds]\n" + key + "\n")
+		is.True(strings.Contains(faults, fault))
+	}
+}
--- a/io/coord/publish_test.go
+++ b/io/coord/publish_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/spec"
 
 	"github.com/matryer/is"
 )
@@ -74,3 +75,58 @@
 		is.Equal(control.proofs(now)["operators"].Newest, int64(6))
 	})
 }
+
+// Guards against an evacuation that does not end because its row was deleted before a scan, or because the mirror has dropped the
+// record of the deletion.
+func TestEvacuationEndsWithItsRow(t *testing.T) {
+	is := is.New(t)
+	coordinator := newIdleCoordinator(t)
+	control := coordinator.traffic.control
+	publish := func(page lentilproxy.Page, whole bool) (evacuated bool) {
+		coordinator.do(func(now time.Time) {
+			if whole {
+				control.operators.MergeWhole(page)
+			} else {
+				control.operators.Apply(page)
+			}
+			control.publish(now)
+			_, evacuated = coordinator.View().Evacuated["dc-2"]
+		})
+		return evacuated
+	}
+	row := func(key string, version int64) lentilproxy.Row { return lentilproxy.Row{Key: key, Version: version} }
+	coordinator.decoder.(*countingDecoder).evacuated = "dc-2"
+	is.True(publish(lentilproxy.Page{Version: 1, Rows: []lentilproxy.Row{row("evacuate", 1)}}, false))
+	is.True(publish(lentilproxy.Page{Version: 3, Rows: []lentilproxy.Row{row("evacuate", 3)}}, true))
+	is.True(!publish(lentilproxy.Page{Version: 5}, true))
+	is.True(publish(lentilproxy.Page{Version: 6, Rows: []lentilproxy.Row{row("evacuate", 6)}}, false))
+	deleted := []lentilproxy.Row{{Key: "evacuate", Version: 7, Deleted: true}}
+	for number := range 5000 {
+		deleted = append(deleted, lentilproxy.Row{Key: fmt.Sprint("other", number), Version: int64(8 + number), Deleted: true})
+	}
+	is.True(!publish(lentilproxy.Page{Version: 6000, Rows: deleted}, false))
+}
+
+// Guards against heartbeats of a cold server that are published and passed on as changes, and against a server that becomes cold
+// again without notice.
+func TestChangesOfTheColdTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		known, row time.Duration
+		changed    bool
+	}{
+		"a heartbeat":                     {4 * time.Second, 3800 * time.Millisecond, false},
+		"a heartbeat that was read later": {4 * time.Second, 4800 * time.Millisecond, false},
+		"one after the end":               {-500 * time.Millisecond, 0, false},
+		"a late one after the end":        {-200 * time.Millisecond, 300 * time.Millisecond, false},
+		"never cold":                      {-time.Hour, 0, false},
+		"cold again":                      {-time.Minute, 3 * time.Second, true},
+		"cold for longer":                 {time.Second, 5 * time.Second, true},
+		"no longer cold":                  {5 * time.Second, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(coldChanged(now, spec.Server{ColdUntil: now.Add(test.known)}, spec.Server{ColdRemaining: test.row}), test.changed)
+		})
+	}
+}
--- a/io/coord/pull_test.go
+++ b/io/coord/pull_test.go
@@ -32,8 +32,11 @@
 	return lentilproxy.CommitResult{Committed: true, Version: 1}, nil
 }
 
-// countingDecoder counts the operators' rows that it decodes, and returns no content.
-type countingDecoder struct{ decoded atomic.Int64 }
+// countingDecoder counts the operators' rows that it decodes. Each of them evacuates a data centre, or has no content if that is empty.
+type countingDecoder struct {
+	decoded   atomic.Int64
+	evacuated string
+}
 
 // Tables implements lentilproxy.RowDecoder.
 func (*countingDecoder) Tables() (operators, servers string) { return "operators", "servers" }
@@ -41,7 +44,7 @@
 // DecodeOperator implements lentilproxy.RowDecoder.
 func (decoder *countingDecoder) DecodeOperator(lentilproxy.Row) (spec.Announcement, error) {
 	decoder.decoded.Add(1)
-	return spec.Announcement{}, nil
+	return spec.Announcement{Evacuated: decoder.evacuated}, nil
 }
 
 // DecodeServer implements lentilproxy.RowDecoder.
