--- a/core/decl/decl.go
+++ b/core/decl/decl.go
@@ -13,10 +13,6 @@
 
 const (
 	tagName = "ini"
-	// Fields tagged emptyTagName:"unset" keep their value if the declaration has the key without a value. A template yields that
-	// for a placeholder without a value.
-	emptyTagName = "empty"
-	emptyUnset   = "unset"
 )
 
 // optionalSuffix marks keys in tags whose empty values count as not set: a template that lacks a value leaves them empty.
@@ -131,9 +127,6 @@
 		if !section.body.HasKey(tag) || optional && section.body.Key(tag).String() == "" {
 			continue
 		}
-		if section.body.Key(tag).String() == "" && fields.Type().Field(index).Tag.Get(emptyTagName) == emptyUnset {
-			continue
-		}
 		if err := setField(fields.Field(index), section.body.Key(tag)); err != nil {
 			faults = append(faults, section.Fault(tag, fmt.Sprintf("%s: %v", tag, err)))
 		}
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -36,8 +36,8 @@
 	DataCentre string `ini:"data_centre"`
 	// MemoryLimitMB is the memory that the process may use, in units of 1,000,000 bytes, and DescriptorLimit the number of file
 	// descriptors. 0 means that the settings state none.
-	MemoryLimitMB   float64 `ini:"memory_limit_mb" empty:"unset"`
-	DescriptorLimit float64 `ini:"descriptor_limit" empty:"unset"`
+	MemoryLimitMB   float64 `ini:"memory_limit_mb,optional"`
+	DescriptorLimit float64 `ini:"descriptor_limit,optional"`
 }
 
 // Listen holds the addresses to listen on, as IP:port.
