Expected cost of requests: core/cost, and its use in core/sched

Hosts chose servers by the number of running requests and the announced tokens. All chat requests of one deployment announce 275 tokens and generate 69 on average, so that both say little about the work.

core/cost learns the output of requests by route, workspace, adapter and size, and the speed of servers. core/sched uses the remaining work of runs, and reserves memory at the 90th percentile, once 24 requests of a route were observed and if [admission] learn_cost is on (default: off).

platform: TestServersThatWantNoRequestsGetNoOrders failed beside load 22 to 30 (its limit of half the latency objective); not yet compared with the code before this change.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -19,6 +19,11 @@
 	MinVersion   int64
 	PromptTokens int64
 	OutputTokens int64
+	// Route, Workspace, EstimatedTokens and SharedTokens are as in cost.Request.
+	Route           string
+	Workspace       string
+	EstimatedTokens int64
+	SharedTokens    int64
 	// Avoid are the servers that this request must not be sent to.
 	Avoid value.Set[string]
 	// Full are the servers that recently had no free slot for the adapter.
@@ -45,6 +50,8 @@
 	loaded   bool
 	// rank is the hash of the adapter and the server. Candidates are sorted by it (rendezvous hashing).
 	rank uint64
+	// work is the remaining work by slot, and own that of the request itself; 0 if the cost of requests is not known.
+	work, own time.Duration
 }
 
 // Choose returns the server for a request of a service, if there is one.
@@ -123,6 +130,7 @@
 		candidates = append(candidates, option)
 	}
 	sort.Slice(candidates, func(left, right int) bool { return candidates[left].rank > candidates[right].rank })
+	scheduler.assess(now, service, candidates, job)
 	return candidates
 }
 
@@ -149,8 +157,8 @@
 	return expected
 }
 
-// leastLatency returns the index of the candidate with the least expected latency. It returns an ejected candidate only
-// if all are ejected.
+// leastLatency returns the index of the candidate with the least expected latency, or with the least remaining work among those
+// that are about as fast. It returns an ejected candidate only if all are ejected.
 func leastLatency(candidates []candidate) int {
 	best := 0
 	for index := range candidates {
@@ -165,7 +173,7 @@
 			best = index
 		}
 	}
-	return best
+	return leastWork(candidates, best)
 }
 
 func withAdapter(candidates []candidate) []candidate {
--- a/core/sched/run.go
+++ b/core/sched/run.go
@@ -15,6 +15,7 @@
 	backlogAtStart int64
 	sentAt         time.Time
 	hasFirstToken  bool
+	expectation    expectation
 }
 
 // Server returns the server of the run.
@@ -29,7 +30,9 @@
 		server: server.ID, adapter: job.Ref.Adapter, startedMillis: server.StartedMillis, sentAt: now,
 		usage: Usage{Running: 1, Backlog: job.PromptTokens, Tokens: job.PromptTokens + job.OutputTokens},
 	}
+	scheduler.expect(run, job)
 	if state := scheduler.serverOf(run); state != nil {
+		state.runs[run] = struct{}{}
 		run.backlogAtStart = state.usage(now).Backlog + job.PromptTokens
 		state.own = state.own.plus(run.usage)
 	}
@@ -66,6 +69,7 @@
 	if state == nil {
 		return
 	}
+	delete(state.runs, run)
 	if !run.hasFirstToken {
 		state.own.Backlog -= run.usage.Backlog
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/notice"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -52,10 +53,12 @@
 	Backlog int64 `json:"backlog,omitempty"`
 	// Tokens is the cache memory that the requests may use, in tokens.
 	Tokens int64 `json:"tokens,omitempty"`
+	// WorkMillis is the time for which the requests are still expected to occupy the server, added up; 0 if the host does not know.
+	WorkMillis int64 `json:"work_ms,omitempty"`
 }
 
 func (usage Usage) plus(other Usage) Usage {
-	return Usage{Running: usage.Running + other.Running, Backlog: usage.Backlog + other.Backlog, Tokens: usage.Tokens + other.Tokens}
+	return Usage{Running: usage.Running + other.Running, Backlog: usage.Backlog + other.Backlog, Tokens: usage.Tokens + other.Tokens, WorkMillis: usage.WorkMillis + other.WorkMillis}
 }
 
 type peerUsage struct {
@@ -75,8 +78,10 @@
 type serverState struct {
 	startedMillis int64
 	own           Usage
-	peers         map[string]peerUsage
-	tokenTime     time.Duration
+	// runs holds this host's running requests.
+	runs      map[*Run]struct{}
+	peers     map[string]peerUsage
+	tokenTime time.Duration
 	// loaded is what the lease holder reported last; until then, the registration counts.
 	loaded Loaded
 	health health
@@ -94,6 +99,8 @@
 	notices *notice.Board[spec.Incarnation]
 	// ejections collects the ejections since the last call of TakeEjections.
 	ejections []Ejection
+	// costs is nil if the cost of requests is not learned.
+	costs *cost.Predictor
 }
 
 // Ejection is the decision to avoid a server for a while because of its errors.
@@ -114,8 +121,12 @@
 }
 
 // New returns the scheduler of a host in a data centre.
-func New(dataCentre string) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation]()}
+func New(dataCentre string, options ...Option) *Scheduler {
+	scheduler := &Scheduler{dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation]()}
+	for _, option := range options {
+		option(scheduler)
+	}
+	return scheduler
 }
 
 // UpdateServers sets the registered servers. It drops the state of servers that were removed or restarted.
@@ -133,7 +144,7 @@
 }
 
 func newServerState(server spec.Server) *serverState {
-	state := &serverState{startedMillis: server.StartedMillis, peers: map[string]peerUsage{}, tokenTime: initialTokenTime}
+	state := &serverState{startedMillis: server.StartedMillis, runs: map[*Run]struct{}{}, peers: map[string]peerUsage{}, tokenTime: initialTokenTime}
 	for _, model := range server.Models {
 		state.loaded = Loaded{Model: model.Model, Adapters: model.Adapters}
 	}
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -70,6 +70,12 @@
 	QuotaAllowance float64 `ini:"quota_allowance"`
 }
 
+// Admission holds how the deployment admits requests and chooses servers.
+type Admission struct {
+	// LearnCost makes hosts learn what requests cost, and choose servers by their remaining work.
+	LearnCost bool `ini:"learn_cost"`
+}
+
 // Weights bounds the adapter loads from the weight store over the whole deployment.
 type Weights struct {
 	LoadsPerSecond float64 `ini:"loads_per_second"`
@@ -113,6 +119,7 @@
 	Weights    Weights
 	Traffic    Traffic
 	Bounds     Bounds
+	Admission  Admission
 	Objectives []Objective
 }
 
@@ -178,6 +185,8 @@
 	case "bounds":
 		parser.decode(section, &settings.Bounds)
 		parser.checkBounds(section)
+	case "admission":
+		parser.decode(section, &settings.Admission)
 	case "objective":
 		parser.parseObjective(section)
 	default:
--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -41,6 +41,7 @@
 	is.Equal(settings.Traffic.MaxBodyBytes, int64(DefaultMaxBodyBytes))
 	is.Equal(settings.Objectives[0].Threshold, 1200*time.Millisecond)
 	is.Equal(settings.Objectives[0].Name, "fast")
+	is.True(!settings.Admission.LearnCost)
 	for _, test := range []struct{ change, with, fault string }{
 		{"name = host-1", "", "test.ini:2: host: name is missing"},
 		{"127.0.0.1:8081", "127.0.0.1:8080", "test.ini:7: listen: operators is the same address as callers"},
@@ -74,6 +75,8 @@
 retry_window = 10s
 lease_gap = 3000ms
 quota_allowance = 110000
+[admission]
+learn_cost = on
 `
 
 func TestParseHosted(t *testing.T) {
@@ -83,6 +86,7 @@
 	is.Equal(settings.Bounds.LeaseGap, 3*time.Second)
 	is.Equal(settings.Bounds.RetryAllowance, DefaultRetryAllowance)
 	is.Equal(settings.Bounds.StopGrace, DefaultStopGrace)
+	is.True(settings.Admission.LearnCost)
 	for _, test := range []struct{ change, with, fault string }{
 		{"store = ", "table = 127.0.0.1:7001\nstore = ", "store and table are mutually exclusive"},
 		{"store = 127.0.0.1:7000", "store = somewhere", `store: "somewhere" is not IP:port`},
@@ -91,6 +95,7 @@
 		{"retry_ratio = 0.2", "retry_ratio = 2", "retry_ratio must be between 0 and 1"},
 		{"quota_allowance = 110000", "quota_allowance = -1", "quota_allowance must not be negative"},
 		{"lease_gap = 3000ms", "lease_gap = 0s", "lease_gap must be positive"},
+		{"learn_cost = on", "learn_cost = much", `learn_cost: "much" is neither true nor false`},
 		{"retry_window = 10s", "retry_window = long", `retry_window: "long" is not a duration`},
 	} {
 		_, faults = parse(strings.Replace(hosted, test.change, test.with, 1))
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -194,7 +194,7 @@
 	}
 	message := gossipMessage{
 		Host: control.coordinator.settings.Host.Name, ID: now.UnixNano(), ReceivedID: peer.receivedID, Members: control.members,
-		Usage: control.coordinator.traffic.ownUsage(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
+		Usage: control.coordinator.traffic.ownUsage(now), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
 	for server, demand := range control.pendingDemand {
 		if control.heldBy(server, peer) {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/retry"
@@ -61,7 +62,7 @@
 
 func newTraffic(coordinator *Coordinator) *Traffic {
 	traffic := &Traffic{
-		coordinator: coordinator, scheduler: sched.New(coordinator.settings.Host.DataCentre),
+		coordinator: coordinator, scheduler: newScheduler(coordinator.settings),
 		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
 		budgets:  map[string]*retry.Budget{},
 		loads:    map[loadKey]*pendingLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
@@ -74,6 +75,13 @@
 	return traffic
 }
 
+func newScheduler(settings *setup.Settings) *sched.Scheduler {
+	if !settings.Admission.LearnCost {
+		return sched.New(settings.Host.DataCentre)
+	}
+	return sched.New(settings.Host.DataCentre, sched.WithCosts(cost.New()))
+}
+
 // updateView applies a new view.
 func (traffic *Traffic) updateView(now time.Time, view *spec.View) {
 	traffic.mutex.Lock()
@@ -148,10 +156,10 @@
 	}
 }
 
-func (traffic *Traffic) ownUsage() map[string]sched.Usage {
+func (traffic *Traffic) ownUsage(now time.Time) map[string]sched.Usage {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	return traffic.scheduler.OwnUsage()
+	return traffic.scheduler.UsageWithWork(now)
 }
 
 func (traffic *Traffic) takeEjections() []sched.Ejection {
@@ -247,6 +255,27 @@
 	traffic.scheduler.RecordFirstToken(now, run)
 }
 
+// LearnsCost reports whether this host learns what requests cost.
+func (traffic *Traffic) LearnsCost() bool { return traffic.coordinator.settings.Admission.LearnCost }
+
+// RecordEvents records events of a response.
+func (traffic *Traffic) RecordEvents(now time.Time, run *sched.Run, count int) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.scheduler.RecordFirstToken(now, run)
+	traffic.scheduler.RecordEvents(run, count)
+}
+
+// Observe records what a request has cost its server. It must be called before its end is recorded.
+func (traffic *Traffic) Observe(run *sched.Run, observed cost.Observed) {
+	traffic.mutex.Lock()
+	verdict := traffic.scheduler.Observe(run, observed)
+	traffic.mutex.Unlock()
+	if traffic.LearnsCost() {
+		traffic.coordinator.metrics.Tagged(map[string]string{"verdict": string(verdict)}).Counter("cost_observations").Inc(1)
+	}
+}
+
 // End records the end of a request.
 func (traffic *Traffic) End(run *sched.Run) {
 	traffic.mutex.Lock()
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -138,7 +138,11 @@
 }
 
 func (call *call) job() sched.Job {
-	job := sched.Job{PromptTokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, Avoid: call.avoid, Full: call.full}
+	job := sched.Job{
+		PromptTokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, Avoid: call.avoid, Full: call.full,
+		Route: call.route.Name, Workspace: call.workspace.Name,
+		EstimatedTokens: call.info.EstimatedTokens, SharedTokens: min(call.info.SharedTokens, call.info.PromptTokens),
+	}
 	if call.target.Engine != nil {
 		job.Ref = call.info.Model
 		job.MinVersion = call.view.Versions[call.info.Model]
@@ -221,6 +225,7 @@
 	traffic := call.service.coordinator.Traffic()
 	run := traffic.Start(clock.Now(), server, call.job())
 	defer traffic.End(run)
+	call.expectedWork = run.ExpectedWork()
 	prompt := call.pace(server)
 	defer prompt.End()
 	if !call.mayStillSend(server) {
--- a/io/serve/finish.go
+++ b/io/serve/finish.go
@@ -102,6 +102,9 @@
 	if !call.sentAt.IsZero() {
 		fields = append(fields, "sent_us", call.sentAt.Sub(call.receivedAt).Microseconds())
 	}
+	if call.expectedWork > 0 {
+		fields = append(fields, "expected_work_ms", call.expectedWork.Milliseconds())
+	}
 	if !call.firstEventAt.IsZero() {
 		fields = append(fields, "first_ms", call.firstEventAt.Sub(call.receivedAt).Milliseconds())
 	}
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
@@ -59,12 +60,20 @@
 		return failed, refuse.MaybeRun(http.StatusBadGateway, refuse.CodeBackendFailed, "the backend server answered with an error")
 	}
 	if response.Status() < http.StatusMultipleChoices {
+		call.observeResponse(now, run)
 		call.recordSuccess(now, server, response)
 	}
 	call.respond(response.Status(), call.service.dialect.ResponseHeader(response.Header()), content)
 	return finished, nil
 }
 
+// observeResponse records what a response that is not a stream has cost its server.
+func (call *call) observeResponse(now time.Time, run *sched.Run) {
+	if call.route.Kind != spec.Streaming {
+		call.service.coordinator.Traffic().Observe(run, cost.Observed{Duration: now.Sub(call.sentAt)})
+	}
+}
+
 // recordSuccess records that a successful response has ended. The request may have crashed its server in the end. Without an
 // open connection, only the servers of repeated requests are checked, and those that may have cut the response off.
 func (call *call) recordSuccess(now time.Time, server spec.Server, response *link.Response) {
@@ -152,6 +161,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			call.exchange.End()
+			call.observeResponse(clock.Now(), run)
 			call.recordSuccess(clock.Now(), server, response)
 			return finished, nil
 		}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -120,6 +120,8 @@
 	sentAt       time.Time
 	firstEventAt time.Time
 	loadTime     time.Duration
+	// expectedWork is the work that the last attempt was expected to cost its server, or 0.
+	expectedWork time.Duration
 	// paceTime is how long the request was held back so that prompts are spread.
 	paceTime time.Duration
 	// fallback is a server's error response, which is passed on unless another server responds.
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
@@ -69,16 +70,17 @@
 	return longest
 }
 
-// lastID returns the ID of the last event, or "" if that event has none. found is false if there are only comments.
-func lastID(content []byte) (last string, found bool) {
+// lastID returns the ID of the last event, or "" if that event has none, and the number of events, without comments.
+func lastID(content []byte) (last string, events int) {
 	for len(content) > 0 {
 		var event []byte
 		event, content = cutEvent(content)
 		if id, data := eventID(event); id != "" || data {
-			last, found = id, true
+			last = id
+			events++
 		}
 	}
-	return last, found
+	return last, events
 }
 
 // cutEvent returns the first of some complete events, with its separator, and the others.
@@ -107,20 +109,24 @@
 func (call *call) relayStream(server spec.Server, run *sched.Run, prompt *coord.Prompt, response *link.Response) (attemptResult, *refuse.Refusal) {
 	eventReader := newEventReader(response)
 	objective := call.view.Config.GapObjective(call.target.Name)
-	var lastAt time.Time
+	var firstAt, lastAt time.Time
 	for {
 		content, err := eventReader.next()
 		switch {
 		case err == nil:
 			now := clock.Now()
-			call.service.coordinator.Traffic().RecordFirstEvent(now, run)
+			call.recordEvents(now, run, content)
 			call.service.coordinator.Blocks().Progress(now, call.run)
 			prompt.End()
 			if !lastAt.IsZero() && objective > 0 {
 				call.service.coordinator.RecordPause(now, server, now.Sub(lastAt), objective)
 			}
+			if firstAt.IsZero() {
+				firstAt = now
+			}
 			lastAt = now
 			if !call.relayEvents(response, content) {
+				call.observeStream(run, firstAt, lastAt, true)
 				return call.handleCallerGone(server)
 			}
 		case errors.Is(err, io.EOF) && len(eventReader.pending) > 0:
@@ -129,8 +135,12 @@
 			// Its end would look the same if the server had crashed before the first event.
 			return call.handleBrokenStream(server, "the connection ended before the first event", err)
 		case errors.Is(err, io.EOF):
+			call.observeStream(run, firstAt, lastAt, false)
 			return call.endStream(server, response)
 		default:
+			if call.ctx.Err() != nil {
+				call.observeStream(run, firstAt, lastAt, true)
+			}
 			return call.handleBrokenStream(server, err.Error(), err)
 		}
 	}
@@ -146,9 +156,31 @@
 	return call.begin(response.Status(), call.service.dialect.ResponseHeader(response.Header()), content)
 }
 
+// recordEvents records events that have arrived from a server.
+func (call *call) recordEvents(now time.Time, run *sched.Run, content []byte) {
+	traffic := call.service.coordinator.Traffic()
+	if !traffic.LearnsCost() {
+		traffic.RecordFirstEvent(now, run)
+		return
+	}
+	_, events := lastID(content)
+	traffic.RecordEvents(now, run, events)
+}
+
+// observeStream records what a stream has cost its server. cut means that it was ended early. A part of a stream that was resumed
+// is no measure of a request.
+func (call *call) observeStream(run *sched.Run, firstAt, lastAt time.Time, cut bool) {
+	if firstAt.IsZero() || call.resumed {
+		return
+	}
+	call.service.coordinator.Traffic().Observe(run, cost.Observed{
+		FirstEvent: firstAt.Sub(call.sentAt), LastEvent: lastAt.Sub(call.sentAt), Duration: clock.Now().Sub(call.sentAt), Cut: cut,
+	})
+}
+
 // recordLastEvent records after which event the stream could be resumed.
 func (call *call) recordLastEvent(content []byte) {
-	if id, events := lastID(content); events {
+	if id, events := lastID(content); events > 0 {
 		call.lastEvent = id
 	}
 }
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -97,6 +97,10 @@
 	// PromptTokens is the size of the prompt and OutputTokens the maximum size of the response; 0 if not given.
 	PromptTokens int64
 	OutputTokens int64
+	// EstimatedTokens is the caller's estimate of the size of the response; 0 if not given.
+	EstimatedTokens int64
+	// SharedTokens is the size of the parts of the prompt that other requests may share.
+	SharedTokens int64
 	// PromptParts holds the IDs of the parts of the prompt, in order. The last part belongs to this request or its session;
 	// other requests may share the parts before it.
 	PromptParts []string
