--- a/core/cost/window.go
+++ b/core/cost/window.go
@@ -9,7 +9,7 @@
 	// windowSize is the number of observations that a window keeps.
 	windowSize = 64
 	// shiftSize is the number of recent observations that are checked for a shift. If at least shiftCount of them are
-	// beyond the same decile of the window, only they are kept. Without a shift, about one of a million checks finds one.
+	// beyond the same decile of the window, only they are kept. Without a shift, that happens once in 150,000 observations.
 	shiftSize  = 12
 	shiftCount = 8
 	// minShiftWindow is the number of observations from which the deciles are known well enough to detect a shift.
