lentilctl explain: where a request would go now, and why

Operators could not see why a request went to a server or was refused. On the project's own interface, POST /v1/explain of the operators' address answers that with the code that serves requests: admission, crash verdict, limit, and the balancer's assessment of each server. Nothing is sent or charged.

Balancer.Pick is now the first of Balancer.Assess; the charge's refusals and the candidates of both kinds of requests are functions of their own.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -70,47 +70,71 @@
 	return known
 }
 
-// Pick returns the least loaded candidate that is neither excluded nor full, and that takes requests by its own notices.
-// Ejected servers are used only if there is no other. Rendezvous hashing by the affinity breaks ties, so that requests with
-// the same prefix go to the same server.
-func (balancer *Balancer) Pick(now time.Time, candidates []Candidate, affinity string, excluded value.Set[string]) (string, bool) {
-	type scored struct {
-		name    string
-		ejected bool
-		load    int
-		rank    uint64
+// Assessment tells how a candidate counts in a choice.
+type Assessment struct {
+	Server string
+	// Load is the number of requests that the server is assumed to run, with the penalty for another data centre.
+	Load     int
+	InFlight int
+	// Full candidates have the greatest number of requests in flight. Excluded ones must not be used for this request.
+	Full     bool
+	Excluded bool
+	// Ejected is how long the server is still avoided, and Wait how long it wants no requests by its own notices.
+	Ejected time.Duration
+	Wait    time.Duration
+	rank    uint64
+}
+
+// Usable reports whether a request may be sent to the candidate.
+func (assessment Assessment) Usable() bool {
+	return !assessment.Full && !assessment.Excluded && assessment.Wait == 0
+}
+
+func (assessment Assessment) before(other Assessment) bool {
+	switch ejected := assessment.Ejected > 0; {
+	case assessment.Usable() != other.Usable():
+		return assessment.Usable()
+	case ejected != (other.Ejected > 0):
+		return !ejected
+	case assessment.Load != other.Load:
+		return assessment.Load < other.Load
+	default:
+		return assessment.rank > other.rank
 	}
-	var usable []scored
+}
+
+// Assess returns how candidates count in a choice, the best one first. It changes nothing.
+func (balancer *Balancer) Assess(now time.Time, candidates []Candidate, affinity string, excluded value.Set[string]) []Assessment {
+	assessments := make([]Assessment, 0, len(candidates))
 	for _, candidate := range candidates {
-		known := balancer.server(candidate.Server)
-		full := candidate.MaxInFlight > 0 && known.inFlight >= candidate.MaxInFlight
-		if full || excluded.Has(candidate.Server) || balancer.notices.Wait(now, candidate.Server) > 0 {
-			continue
+		known := balancer.servers[candidate.Server]
+		if known == nil {
+			known = &server{}
+		}
+		assessment := Assessment{
+			Server: candidate.Server, Load: known.load(now), InFlight: known.inFlight, Excluded: excluded.Has(candidate.Server),
+			Full:    candidate.MaxInFlight > 0 && known.inFlight >= candidate.MaxInFlight,
+			Ejected: max(0, known.ejectedUntil.Sub(now)), Wait: balancer.notices.Wait(now, candidate.Server),
+			rank: xxhash.Sum64String(affinity + "\x00" + candidate.Server),
 		}
-		load := known.load(now)
 		if candidate.DataCentre != balancer.dataCentre {
-			load += RemotePenalty
+			assessment.Load += RemotePenalty
 		}
-		usable = append(usable, scored{
-			name: candidate.Server, ejected: now.Before(known.ejectedUntil), load: load,
-			rank: xxhash.Sum64String(affinity + "\x00" + candidate.Server),
-		})
+		assessments = append(assessments, assessment)
 	}
-	if len(usable) == 0 {
+	sort.Slice(assessments, func(left, right int) bool { return assessments[left].before(assessments[right]) })
+	return assessments
+}
+
+// Pick returns the least loaded candidate that is neither excluded nor full, and that takes requests by its own notices.
+// Ejected servers are used only if there is no other. Rendezvous hashing by the affinity breaks ties, so that requests with
+// the same prefix go to the same server.
+func (balancer *Balancer) Pick(now time.Time, candidates []Candidate, affinity string, excluded value.Set[string]) (string, bool) {
+	assessments := balancer.Assess(now, candidates, affinity, excluded)
+	if len(assessments) == 0 || !assessments[0].Usable() {
 		return "", false
 	}
-	sort.Slice(usable, func(left, right int) bool {
-		first, second := usable[left], usable[right]
-		switch {
-		case first.ejected != second.ejected:
-			return second.ejected
-		case first.load != second.load:
-			return first.load < second.load
-		default:
-			return first.rank > second.rank
-		}
-	})
-	return usable[0].name, true
+	return assessments[0].Server, true
 }
 
 // load estimates the number of requests in flight on the server. Reports lag, so it adds the change in this host's own
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -11,6 +11,7 @@
 
 	"lentilproxy/core/conf"
 	"lentilproxy/core/keys"
+	"lentilproxy/io/gate"
 	"lentilproxy/io/node"
 	"lentilproxy/io/report"
 
@@ -106,6 +107,7 @@
 	node    *node.Node
 	metrics http.Handler
 	reports *report.Recorder
+	explain func(now time.Time, question gate.Question) gate.Explanation
 	app     *iris.Application
 }
 
@@ -120,6 +122,11 @@
 	return func(admin *Admin) { admin.reports = reports }
 }
 
+// WithExplain sets the function that explains where a request would go.
+func WithExplain(explain func(now time.Time, question gate.Question) gate.Explanation) Option {
+	return func(admin *Admin) { admin.explain = explain }
+}
+
 // New returns the operators' API of a node.
 func New(node *node.Node, options ...Option) (*Admin, error) {
 	admin := &Admin{node: node, app: iris.New()}
@@ -137,6 +144,9 @@
 	admin.app.Post("/v1/drain", admin.drain)
 	admin.app.Get("/v1/status", admin.status)
 	admin.app.Get("/v1/burn", admin.burn)
+	if admin.explain != nil {
+		admin.app.Post("/v1/explain", admin.serveExplain)
+	}
 	if admin.metrics != nil {
 		admin.app.Get("/metrics", iris.FromStd(admin.metrics))
 	}
@@ -400,6 +410,12 @@
 	_ = ctx.JSON(ApplyResult{Outcome: node.Rejected, Faults: []Fault{{Kind: ref.Kind, Name: ref.Name, Message: "does not exist"}}})
 }
 
+func (admin *Admin) serveExplain(ctx iris.Context) {
+	if question, valid := decodeBody[gate.Question](ctx); valid {
+		_ = ctx.JSON(admin.explain(time.Now(), question))
+	}
+}
+
 func (admin *Admin) status(ctx iris.Context) {
 	status, err := admin.node.Status(ctx.Request().Context())
 	if err != nil {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -67,7 +67,7 @@
 	daemon.ledger = ledger.New(platform, settings.Host.Name)
 	daemon.reports = report.New(platform, settings.Host.Name, settings.Objectives, report.WithLog(daemon.log))
 	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports))
-	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports))
+	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports), admin.WithExplain(daemon.gate.Explain))
 	if err != nil {
 		return nil, oops.Code("internal").Wrap(err)
 	}
--- a/io/gate/complete.go
+++ b/io/gate/complete.go
@@ -201,13 +201,18 @@
 
 func (call *call) charge(tokens float64) (*limit.Receipt, *refuse.Refusal) {
 	receipt, outcome := call.gate.node.Charge(call.request.Context(), call.workspace, tokens)
+	return receipt, limitRefusal(outcome)
+}
+
+// limitRefusal returns the refusal of a request that its workspace's limit does not allow, or nil.
+func limitRefusal(outcome limit.Outcome) *refuse.Refusal {
 	switch outcome {
 	case limit.Insufficient:
-		return nil, refuse.NotRun(http.StatusTooManyRequests, refuse.CodeOverRate, "the workspace is over its rate").WithRetryAfter(defaultRetryAfter)
+		return refuse.NotRun(http.StatusTooManyRequests, refuse.CodeOverRate, "the workspace is over its rate").WithRetryAfter(defaultRetryAfter)
 	case limit.ExceedsBurst:
-		return nil, refuse.NotRun(http.StatusRequestEntityTooLarge, refuse.CodeOverBurst, "the request costs more tokens than the workspace's burst")
+		return refuse.NotRun(http.StatusRequestEntityTooLarge, refuse.CodeOverBurst, "the request costs more tokens than the workspace's burst")
 	default:
-		return receipt, nil
+		return nil
 	}
 }
 
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -130,6 +130,8 @@
 	// keyID is empty on open routes.
 	keyID     string
 	workspace string
+	// assumedWorkspace is set for requests that are explained, which have no key.
+	assumedWorkspace string
 	// state is the configuration under which the request was admitted.
 	state  *conf.State
 	sample lentilproxy.Sample
@@ -214,6 +216,10 @@
 
 // authenticate sets the workspace of the presented key. Without a key it returns refuse.CodeKeyMissing.
 func (call *call) authenticate() *refuse.Refusal {
+	if call.assumedWorkspace != "" {
+		call.workspace = call.assumedWorkspace
+		return nil
+	}
 	identifier, workspace, verdict := keys.Check(call.state, call.presentedKey)
 	switch verdict {
 	case keys.Valid:
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -126,6 +126,11 @@
 // Fresh reports whether the host may act on its current view at a point in time.
 func (node *Node) Fresh(now time.Time) bool { return node.View().Fresh(now) }
 
+// ProofAge returns the age of the proof that the view is current; proven is false if there is none.
+func (view *View) ProofAge(now time.Time) (age time.Duration, proven bool) {
+	return now.Sub(view.provenAt), view.proven
+}
+
 // Ready reports whether the host can serve requests.
 func (node *Node) Ready(now time.Time) bool {
 	select {
--- a/io/node/services.go
+++ b/io/node/services.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilproxy/core/conf"
 	"lentilproxy/core/route"
 	"lentilproxy/core/value"
 )
@@ -29,14 +30,7 @@
 
 // ReserveService reserves a server of a plain service that is not in avoid, or returns nil.
 func (node *Node) ReserveService(service, affinity string, avoid value.Set[string]) *ServiceSlot {
-	addresses := map[string]string{}
-	var candidates []route.Candidate
-	for _, resource := range node.View().state.ServiceServers(service) {
-		if !resource.BackendServer.Draining {
-			addresses[resource.Name] = resource.BackendServer.Address
-			candidates = append(candidates, candidate(resource))
-		}
-	}
+	addresses, candidates := serviceCandidates(node.View().state, service)
 	node.traffic.mutex.Lock()
 	defer node.traffic.mutex.Unlock()
 	name, found := node.traffic.balancer.Pick(time.Now(), candidates, affinity, avoid)
@@ -46,3 +40,15 @@
 	node.traffic.balancer.RequestStarted(name)
 	return &ServiceSlot{node: node, server: name, address: addresses[name]}
 }
+
+// serviceCandidates returns the servers of a plain service that may be used, with their addresses.
+func serviceCandidates(state *conf.State, service string) (addresses map[string]string, candidates []route.Candidate) {
+	addresses = map[string]string{}
+	for _, resource := range state.ServiceServers(service) {
+		if !resource.BackendServer.Draining {
+			addresses[resource.Name] = resource.BackendServer.Address
+			candidates = append(candidates, candidate(resource))
+		}
+	}
+	return addresses, candidates
+}
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -250,6 +250,18 @@
 // startRequest reserves the best instance of a model for a request, or returns nil. It must be called with the mutex
 // held.
 func (traffic *traffic) startRequest(now time.Time, state *conf.State, model string, avoid value.Set[string]) *Slot {
+	permits, candidates := traffic.permitted(now, state, model)
+	name, found := traffic.balancer.Pick(now, candidates, model, avoid)
+	if !found || !traffic.permits.StartRequest(now, permits[name].Instance) {
+		return nil
+	}
+	traffic.balancer.RequestStarted(name)
+	address := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: name}).BackendServer.Address
+	return &Slot{node: traffic.node, permit: permits[name], address: address}
+}
+
+// permitted returns the permits for a model by engine, and these engines as candidates. It must be called with the mutex held.
+func (traffic *traffic) permitted(now time.Time, state *conf.State, model string) (map[string]place.Permit, []route.Candidate) {
 	permits := map[string]place.Permit{}
 	var candidates []route.Candidate
 	for _, permit := range traffic.permits.Usable(now, model) {
@@ -260,13 +272,7 @@
 		permits[permit.Engine] = permit
 		candidates = append(candidates, candidate(resource))
 	}
-	name, found := traffic.balancer.Pick(now, candidates, model, avoid)
-	if !found || !traffic.permits.StartRequest(now, permits[name].Instance) {
-		return nil
-	}
-	traffic.balancer.RequestStarted(name)
-	address := state.Get(conf.Ref{Kind: conf.KindBackendServer, Name: name}).BackendServer.Address
-	return &Slot{node: traffic.node, permit: permits[name], address: address}
+	return permits, candidates
 }
 
 func candidate(resource *conf.Resource) route.Candidate {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -49,6 +49,7 @@
 	Delete   deleteCommand   `command:"delete" description:"remove a resource"`
 	Key      keyCommands     `command:"key" description:"grant and withdraw keys"`
 	Drain    drainCommand    `command:"drain" description:"take a backend server out of service, or back"`
+	Explain  explainCommand  `command:"explain" description:"show where a request would go now, and why, without sending it"`
 	Status   statusCommand   `command:"status" description:"show hosts, the revisions that they hold, pools and limits"`
 	Report   reportCommands  `command:"report" description:"print reports"`
 	Complete completeCommand `command:"completion" description:"print the completion script for bash"`
@@ -104,6 +105,7 @@
 	globals.Key.Grant.globals = globals
 	globals.Key.Withdraw.globals = globals
 	globals.Drain.globals = globals
+	globals.Explain.globals = globals
 	globals.Status.globals = globals
 	globals.Report.Burn.globals = globals
 	globals.Complete.globals = globals
@@ -118,6 +120,9 @@
   lentilctl key withdraw 4f1c2a          withdraw that key
   lentilctl drain engine-1               send no new work to engine-1
   lentilctl status                       show hosts, pools and limits
+  lentilctl explain -w shop /services/stock/rib
+                                         show where such a request would go now
 
 Exit codes: 0 done, 1 failed, 2 wrong arguments or resources, 3 rejected, 4 committed but not yet in force
-everywhere, 5 unknown whether it took effect.`
+everywhere, 5 unknown whether it took effect. For explain: 0 the request would be sent or would wait, 3 it would be
+refused.`
