Explain choices on the platform: /explain of the metrics address

core/sched explains the choice by calling Choose on a copy, so that neither ejections nor replications are recorded; io/serve adds route, workspace, limit, crash suspicion, refusal and the ages of the state. Exclusions of servers, the examination of a request before its charge, and refusals after the choice are functions of their own, which serving and explaining share.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -106,16 +106,10 @@
 	var candidates []candidate
 	baseline := scheduler.baselineErrorRate(now, service.Name, servers)
 	for name, server := range servers {
-		state := scheduler.servers[name]
-		if state == nil || server.Service != service.Name || server.Draining || job.Avoid.Has(name) {
-			continue
-		}
-		if scheduler.Wait(now, server.Incarnation()) > 0 {
-			continue
-		}
-		if job.Ref.Model != "" && state.loaded.Model != job.Ref.Model {
+		if server.Service != service.Name || scheduler.exclusion(now, server, job) != "" {
 			continue
 		}
+		state := scheduler.servers[name]
 		option := candidate{
 			server: server, state: state, ejected: scheduler.ejected(now, name, state, baseline),
 			rank: xxhash.Sum64String(job.Ref.Adapter + "\x00" + name),
@@ -134,6 +128,25 @@
 	return candidates
 }
 
+// exclusion returns why a server cannot run a request, or "".
+func (scheduler *Scheduler) exclusion(now time.Time, server spec.Server, job Job) string {
+	state := scheduler.servers[server.ID]
+	switch {
+	case state == nil:
+		return "not known yet"
+	case server.Draining:
+		return "draining"
+	case job.Avoid.Has(server.ID):
+		return "has failed this request"
+	case scheduler.Wait(now, server.Incarnation()) > 0:
+		return "is leaving, or has asked for a pause"
+	case job.Ref.Model != "" && state.loaded.Model != job.Ref.Model:
+		return "runs another model"
+	default:
+		return ""
+	}
+}
+
 // expected returns the expected time to the first token, or a measure of the load for services that run no models.
 func (scheduler *Scheduler) expected(now time.Time, service spec.Service, server spec.Server, state *serverState, job Job) time.Duration {
 	usage := state.usage(now)
--- a/core/sched/cost_test.go
+++ b/core/sched/cost_test.go
@@ -210,3 +210,40 @@
 	t.Logf("95th percentile of the latencies of short requests: by counts %v, by remaining work %v", counts.Round(time.Millisecond), costs.Round(time.Millisecond))
 	is.True(costs < counts)
 }
+
+// Guards against an explanation that records an ejection or a replication, so that the choice made afterwards differs, and
+// against servers without a reason.
+func TestExplainChangesNothing(t *testing.T) {
+	is := is.New(t)
+	all := servers("chat", 4)
+	scheduler := newScheduler(all)
+	scheduler.SetLoaded("chat-1", 0, Loaded{Model: "m", Orderable: true, Adapters: map[string]int64{"a": 1}})
+	scheduler.SetLoaded("chat-3", 0, Loaded{Model: "other"})
+	job := Job{Ref: adapter, PromptTokens: 700, OutputTokens: 70}
+	for range 9 {
+		scheduler.Start(start, all["chat-1"], job)
+	}
+	for range 8 {
+		scheduler.RecordResponse(start, "chat-0", false)
+		scheduler.RecordResponse(start, "chat-2", true)
+	}
+	for range 3 {
+		explanation := scheduler.Explain(start, chat, all, job)
+		choice, found := explanation.Choice()
+		is.True(found)
+		is.Equal(choice.Server.ID, "chat-1")
+		is.True(explanation.Replicate != "")
+		is.Equal(len(explanation.Servers), 4)
+		for _, server := range explanation.Servers {
+			is.Equal(server.Excluded != "", server.Server == "chat-3")
+			is.Equal(server.Ejected, server.Server == "chat-2")
+			is.Equal(server.Loaded, server.Server == "chat-1")
+		}
+	}
+	is.Equal(len(scheduler.TakeEjections()), 0)
+	choice, _ := scheduler.Choose(start, chat, all, job)
+	is.True(choice.ReplicateTo != "")
+	is.Equal(len(scheduler.TakeEjections()), 1)
+	again, _ := scheduler.Choose(start, chat, all, job)
+	is.Equal(again.ReplicateTo, "")
+}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -221,6 +221,13 @@
 	return traffic.scheduler.Choose(now, service, view.Servers, job)
 }
 
+// Explain returns what Choose would choose now, and why. It changes nothing.
+func (traffic *Traffic) Explain(now time.Time, service spec.Service, view *spec.View, job sched.Job) sched.Explanation {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.scheduler.Explain(now, service, view.Servers, job)
+}
+
 // Start counts a request that is about to be sent to a server. The run has to be ended.
 func (traffic *Traffic) Start(now time.Time, server spec.Server, job sched.Job) *sched.Run {
 	traffic.mutex.Lock()
--- a/io/daemon/hosted.go
+++ b/io/daemon/hosted.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -30,6 +33,8 @@
 	storeConnections = 4
 	// drainPollInterval is the time between two checks whether a stopping host still serves requests.
 	drainPollInterval = 20 * time.Millisecond
+	// maxExplainedBytes bounds the body of a request that is explained.
+	maxExplainedBytes = 256 << 10
 )
 
 // Hosted is a daemon on the operators' platform.
@@ -78,12 +83,32 @@
 	opened.serve(&http.Server{Handler: readyMux, ReadHeaderTimeout: closeTimeout}, 1)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", metrics)
+	metricsMux.HandleFunc("/explain", explainHandler(service))
 	opened.serve(&http.Server{Handler: metricsMux, ReadHeaderTimeout: closeTimeout}, 3)
 	log.Info("started", "host", settings.Host.Name, "data_centre", settings.Host.DataCentre, "callers", settings.Listen.Callers,
 		"peers", settings.Listen.Peers, "store", settings.Platform.Store)
 	return hosted, nil
 }
 
+// explainHandler returns the handler that explains where a request would go now. The request is described by the parameters host,
+// target, method and workspace, and by the headers and the body of the call itself.
+func explainHandler(service *serve.Service) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxExplainedBytes))
+		if err != nil {
+			http.Error(writer, "the body is too long", http.StatusRequestEntityTooLarge)
+			return
+		}
+		query := request.URL.Query()
+		explanation := service.Explain(serve.Question{
+			Method: cmp.Or(query.Get("method"), http.MethodPost), Host: query.Get("host"), Target: query.Get("target"),
+			Header: request.Header, Body: body, Workspace: query.Get("workspace"),
+		})
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(explanation)
+	}
+}
+
 // recordSurplus records that a backend server has sent bytes that belong to no request.
 func recordSurplus(log logr.Logger, scope tally.Scope, dialect lentilproxy.Dialect, server string, surplus link.Surplus, response *http.Response) {
 	scope.Tagged(map[string]string{"kind": string(surplus)}).Counter("surplus_from_servers").Inc(1)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -36,6 +36,11 @@
 	bodiless bool
 }
 
+// NewExchange returns an exchange without a connection, for a request that is only examined. No response can be written to it.
+func NewExchange(method, host, target string, header http.Header, body []byte) *Exchange {
+	return &Exchange{method: method, host: host, target: target, header: header, body: body}
+}
+
 // Method returns the method of the request.
 func (exchange *Exchange) Method() string { return exchange.method }
 
--- a/io/proc/explain_test.go
+++ b/io/proc/explain_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,10 +13,21 @@
 
 	"lentilproxy/io/fake"
 	"lentilproxy/io/gate"
+	"lentilproxy/io/node"
 )
 
-// explain runs lentilctl explain and returns its answer and exit code.
+// explain runs lentilctl explain until no request is in flight, as a request ends a moment after its caller has received the
+// response. It returns the answer and the exit code.
 func (fleet *fleet) explain(host *host, args ...string) (explanation gate.Explanation, code int) {
+	fleet.t.Helper()
+	await(fleet.t, startTimeout, "no request is in flight", func() bool {
+		explanation, code = fleet.explainOnce(host, args...)
+		return !slices.ContainsFunc(explanation.Servers, func(candidate node.Candidate) bool { return candidate.InFlight > 0 })
+	})
+	return explanation, code
+}
+
+func (fleet *fleet) explainOnce(host *host, args ...string) (explanation gate.Explanation, code int) {
 	fleet.t.Helper()
 	output, code := runCtl(fleet.t, host.operatorAddress, append([]string{"--output", "json", "explain"}, args...)...)
 	if err := json.Unmarshal([]byte(output), &explanation); err != nil {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -155,19 +155,24 @@
 	call.view = call.service.coordinator.View()
 	now := clock.Now()
 	choice, found := call.service.coordinator.Traffic().Choose(now, call.target, call.view, call.job())
+	if found && choice.ReplicateTo != "" {
+		call.service.coordinator.Replicate(call.view.Servers[choice.ReplicateTo], call.info.Model.Adapter)
+	}
+	return choice, call.choiceRefusal(now, choice, found)
+}
+
+// choiceRefusal returns the refusal of a request for which no server was found, or none that responds in time; otherwise nil.
+func (call *call) choiceRefusal(now time.Time, choice sched.Choice, found bool) *refuse.Refusal {
 	if !found {
 		if pause := call.pause(now); pause > 0 {
-			return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers have asked for a pause").WithRetryAfter(pause)
+			return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers have asked for a pause").WithRetryAfter(pause)
 		}
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server can take the request now").WithRetryAfter(capacityRetryAfter)
-	}
-	if choice.ReplicateTo != "" {
-		call.service.coordinator.Replicate(call.view.Servers[choice.ReplicateTo], call.info.Model.Adapter)
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server can take the request now").WithRetryAfter(capacityRetryAfter)
 	}
 	if wait := choice.Expected - call.firstEventDeadline.Sub(now); call.target.Engine != nil && wait > 0 && !call.exchange.Begun() {
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time").WithRetryAfter(wait)
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time").WithRetryAfter(wait)
 	}
-	return choice, nil
+	return nil
 }
 
 // pause returns how long no server takes requests because all have asked for a pause; 0 if that is shorter than the request
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -93,7 +93,9 @@
 	target     spec.Service
 	// workspace is empty on open routes.
 	workspace spec.Workspace
-	deadline  time.Time
+	// assumedWorkspace is set for requests that are explained, which have no key.
+	assumedWorkspace string
+	deadline         time.Time
 	// firstEventDeadline is when the caller stops waiting for the beginning of a response.
 	firstEventDeadline time.Time
 	// cost is the amount that the request charges to its workspace's limit.
@@ -150,8 +152,16 @@
 	call.finish(refusal)
 }
 
-// admit decides whether the request may be served.
+// admit decides whether the request may be served, and charges it.
 func (call *call) admit(ctx context.Context) *refuse.Refusal {
+	if refusal := call.examine(); refusal != nil {
+		return refusal
+	}
+	return call.charge(ctx)
+}
+
+// examine decides whether the request may be served, apart from its workspace's limit. It changes nothing but the call.
+func (call *call) examine() *refuse.Refusal {
 	info, err := call.service.dialect.DecodeRequest(call.exchange.Header())
 	call.info = info
 	if err != nil {
@@ -186,10 +196,7 @@
 	call.target = target
 	call.digest = requestDigest(call)
 	call.parts = call.crashParts()
-	if refusal := call.checkBlocked(); refusal != nil {
-		return refusal
-	}
-	return call.charge(ctx)
+	return call.checkBlocked()
 }
 
 // crashParts returns what the request may have in common with others that crash servers. The last part of the prompt
@@ -225,6 +232,10 @@
 	if call.route.Open || !call.view.Config.RequiresKeys() {
 		return nil
 	}
+	if call.assumedWorkspace != "" {
+		call.workspace = call.view.Config.Workspaces()[call.assumedWorkspace]
+		return nil
+	}
 	workspace, found := call.view.Config.WorkspaceByKey(call.info.Key)
 	switch {
 	case found:
@@ -242,15 +253,25 @@
 	if call.workspace.Rate <= 0 {
 		return nil
 	}
-	call.cost = 1
-	if call.workspace.Metered {
-		call.cost = float64(call.info.PromptTokens + call.info.OutputTokens)
-		if call.cost == 0 {
-			call.cost = call.workspace.DefaultTokens
-		}
-	}
+	call.cost = call.limitCost()
 	receipt, outcome := call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, call.cost)
 	call.receipt = receipt
+	return call.limitRefusal(outcome)
+}
+
+// limitCost returns what the request charges to its workspace's limit.
+func (call *call) limitCost() float64 {
+	if !call.workspace.Metered {
+		return 1
+	}
+	if cost := float64(call.info.PromptTokens + call.info.OutputTokens); cost > 0 {
+		return cost
+	}
+	return call.workspace.DefaultTokens
+}
+
+// limitRefusal returns the refusal of a request that its workspace's limit does not allow, or nil.
+func (call *call) limitRefusal(outcome limit.Outcome) *refuse.Refusal {
 	switch outcome {
 	case limit.Charged, limit.Unlimited:
 		return nil
