--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -14,8 +14,8 @@
 	// leastRemaining is the fraction of its expected work that a run counts with, however long it has run.
 	leastRemaining = 0.1
 	// fullPenalty is the wait that a request is expected to have for each request beyond the slots of a plain server, which may
-	// reject it, as a multiple of its own work. It is divided by the slots. With 1 to 3, short requests among long ones had
-	// nearly the same latencies in TestShortRequestsAmongLongOnes.
+	// reject it, as a multiple of its own work. It is divided by the slots. With 1 to 4, short requests among long ones had
+	// similar latencies in TestShortRequestsAmongLongOnes.
 	fullPenalty = 2
 	// unknownRemaining is the fraction of its work that a run of another host has left on average, if that host does not
 	// report its remaining work.
@@ -174,7 +174,8 @@
 	}
 }
 
-// plainCost returns the expected time to the end of a request to a server that runs no models.
+// plainCost returns a measure of the load of a server that runs no models: the work by slot, with the request's own. The time to
+// the request's end would be a worse one: with load data that are old, all hosts then fill up the fast servers first.
 func (scheduler *Scheduler) plainCost(now time.Time, candidate *candidate, estimate cost.Estimate) time.Duration {
 	running := candidate.state.usage(now).Running
 	remaining := candidate.state.remainingWork(now, estimate.Work)
@@ -184,7 +185,7 @@
 	if candidate.server.DataCentre != scheduler.dataCentre {
 		load += remotePenalty * estimate.Work
 	}
-	expected := estimate.Work + load/time.Duration(slots)
+	expected := (estimate.Work + load) / time.Duration(slots)
 	if over := running + 1 - slots; over > 0 {
 		// A server whose slots are all in use may reject the request.
 		expected += (fullPenalty*estimate.Work + remaining/time.Duration(running+1)) * time.Duration(over) / time.Duration(slots)
