Runs whose work is not known count in the remaining work

Requests that announce no tokens, of a route that is not known yet, counted as no work, so that a server which ran only such requests seemed to be idle. They now count with half of the work of the request that needs a server.

--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -118,25 +118,31 @@
 		return usages
 	}
 	for name, usage := range usages {
-		usage.WorkMillis = max(1, scheduler.servers[name].ownWork(now).Milliseconds())
-		usages[name] = usage
+		if work, known := scheduler.servers[name].ownWork(now); known > 0 {
+			usage.WorkMillis = max(1, work.Milliseconds()*int64(usage.Running)/int64(known))
+			usages[name] = usage
+		}
 	}
 	return usages
 }
 
-func (state *serverState) ownWork(now time.Time) time.Duration {
-	var work time.Duration
+// ownWork returns the work that this host's runs are still expected to cost, and the number of runs of which something is
+// expected. Nothing is expected of requests that announce no tokens until their route is known.
+func (state *serverState) ownWork(now time.Time) (work time.Duration, known int) {
 	for run := range state.runs {
-		work += run.remaining(now)
+		if run.expectation.estimate.Work > 0 {
+			work += run.remaining(now)
+			known++
+		}
 	}
-	return work
+	return work, known
 }
 
 // remainingWork returns the work that the running requests of all hosts are still expected to cost. Requests whose work is not
 // known count as if they were like one that costs each. Reports of peers are not reduced by their age, since new requests
 // replace those that have ended.
 func (state *serverState) remainingWork(now time.Time, each time.Duration) time.Duration {
-	work, known := state.ownWork(now), len(state.runs)
+	work, known := state.ownWork(now)
 	for _, peer := range state.peers {
 		if now.Sub(peer.at) < usageLifetime && peer.usage.WorkMillis > 0 {
 			work += time.Duration(peer.usage.WorkMillis) * time.Millisecond
--- a/core/sched/cost_test.go
+++ b/core/sched/cost_test.go
@@ -83,8 +83,9 @@
 	scheduler.Start(start, all["chat-0"], Job{Ref: adapter, Route: "long", OutputTokens: 275})
 	last := time.Duration(1<<62 - 1)
 	for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += 100 * time.Millisecond {
-		work := scheduler.servers["chat-0"].ownWork(start.Add(elapsed))
+		work, known := scheduler.servers["chat-0"].ownWork(start.Add(elapsed))
 		is.True(work <= last && work > 0)
+		is.Equal(known, 1)
 		last = work
 	}
 	is.True(last < 200*time.Millisecond)
@@ -104,6 +105,11 @@
 	other.SetPeerUsage(start, "new", map[string]Usage{"chat-0": {Running: 1, WorkMillis: 700}})
 	is.Equal(state.remainingWork(start, time.Second), 1700*time.Millisecond)
 	is.Equal(state.remainingWork(start.Add(usageLifetime), time.Second), time.Duration(0))
+
+	// A plain request of an unknown route costs something as well.
+	other.Start(start, all["chat-0"], Job{Route: "new"})
+	is.Equal(other.UsageWithWork(start)["chat-0"].WorkMillis, int64(0))
+	is.Equal(state.remainingWork(start.Add(usageLifetime), time.Second), 500*time.Millisecond)
 }
 
 // Guards against a plain request that is sent to a server whose slots are all in use while another one has room, although the
