Streams without events are not taken for plain responses

A stream that contained only comments was recorded with no events, so that its duration counted as the output of its route in events. It is left out.

--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -85,22 +85,22 @@
 
 // The verdicts on expected costs. Of the requests that were expected, nine in ten should be within the 90th percentile.
 const (
-	Unexpected Verdict = "unlearned"
-	Within     Verdict = "within"
-	Beyond     Verdict = "beyond"
+	Unlearned Verdict = "unlearned"
+	Within    Verdict = "within"
+	Beyond    Verdict = "beyond"
 )
 
 // Observe records what a run has cost. It must be called before the run ends.
 func (scheduler *Scheduler) Observe(run *Run, observed cost.Observed) Verdict {
 	if scheduler.costs == nil {
-		return Unexpected
+		return Unlearned
 	}
 	expected := run.expectation
 	observed.Events, observed.Unread = expected.events, run.backlogAtStart
 	scheduler.costs.Observe(run.server, expected.request, observed)
 	switch {
 	case !expected.estimate.Learned:
-		return Unexpected
+		return Unlearned
 	case observed.Events > 0 && float64(observed.Events) > expected.high, observed.Events == 0 && observed.Duration > expected.estimate.WorkHigh:
 		return Beyond
 	default:
@@ -108,6 +108,9 @@
 	}
 }
 
+// Events returns the number of events of the run's stream so far.
+func (run *Run) Events() int { return run.expectation.events }
+
 // ExpectedWork returns the work that was expected of a run when it started; 0 if nothing was.
 func (run *Run) ExpectedWork() time.Duration { return run.expectation.estimate.Work }
 
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -168,9 +168,9 @@
 }
 
 // observeStream records what a stream has cost its server. cut means that it was ended early. A part of a stream that was resumed
-// is no measure of a request.
+// is no measure of a request, nor is one without events.
 func (call *call) observeStream(run *sched.Run, firstAt, lastAt time.Time, cut bool) {
-	if firstAt.IsZero() || call.resumed {
+	if run.Events() == 0 || call.resumed {
 		return
 	}
 	call.service.coordinator.Traffic().Observe(run, cost.Observed{
