--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -19,6 +19,11 @@
 	MinVersion   int64
 	PromptTokens int64
 	OutputTokens int64
+	// Route, Workspace, EstimatedTokens and SharedTokens are as in cost.Request.
+	Route           string
+	Workspace       string
+	EstimatedTokens int64
+	SharedTokens    int64
 	// Avoid are the servers that this request must not be sent to.
 	Avoid value.Set[string]
 	// Full are the servers that recently had no free slot for the adapter.
@@ -45,6 +50,8 @@
 	loaded   bool
 	// rank is the hash of the adapter and the server. Candidates are sorted by it (rendezvous hashing).
 	rank uint64
+	// work is the remaining work by slot, and own that of the request itself; 0 if the cost of requests is not known.
+	work, own time.Duration
 }
 
 // Choose returns the server for a request of a service, if there is one.
@@ -99,19 +106,10 @@
 	var candidates []candidate
 	baseline := scheduler.baselineErrorRate(now, service.Name, servers)
 	for name, server := range servers {
-		state := scheduler.servers[name]
-		if state == nil || server.Service != service.Name || server.Draining || server.Evacuated || job.Avoid.Has(name) {
-			continue
-		}
-		if !scheduler.gate.Allows(now, service, server) {
-			continue
-		}
-		if scheduler.Wait(now, server.Incarnation()) > 0 {
-			continue
-		}
-		if job.Ref.Model != "" && state.loaded.Model != job.Ref.Model {
+		if server.Service != service.Name || scheduler.exclusion(now, service, server, job) != "" {
 			continue
 		}
+		state := scheduler.servers[name]
 		option := candidate{
 			server: server, state: state, ejected: scheduler.ejected(now, name, state, baseline),
 			rank: xxhash.Sum64String(job.Ref.Adapter + "\x00" + name),
@@ -126,9 +124,33 @@
 		candidates = append(candidates, option)
 	}
 	sort.Slice(candidates, func(left, right int) bool { return candidates[left].rank > candidates[right].rank })
+	scheduler.assess(now, service, candidates, job)
 	return candidates
 }
 
+// exclusion returns why a server cannot run a request, or "".
+func (scheduler *Scheduler) exclusion(now time.Time, service spec.Service, server spec.Server, job Job) string {
+	state := scheduler.servers[server.ID]
+	switch {
+	case state == nil:
+		return "not known yet"
+	case server.Draining:
+		return "draining"
+	case server.Evacuated:
+		return "its data centre is evacuated"
+	case !scheduler.gate.Allows(now, service, server):
+		return "is cold"
+	case job.Avoid.Has(server.ID):
+		return "has failed this request"
+	case scheduler.Wait(now, server.Incarnation()) > 0:
+		return "is leaving, or has asked for a pause"
+	case job.Ref.Model != "" && state.loaded.Model != job.Ref.Model:
+		return "runs another model"
+	default:
+		return ""
+	}
+}
+
 // expected returns the expected time to the first token, or a measure of the load for services that run no models.
 func (scheduler *Scheduler) expected(now time.Time, service spec.Service, server spec.Server, state *serverState, job Job) time.Duration {
 	usage := state.usage(now)
@@ -154,8 +176,8 @@
 	return expected
 }
 
-// leastLatency returns the index of the candidate with the least expected latency. It returns an ejected candidate only
-// if all are ejected.
+// leastLatency returns the index of the candidate with the least expected latency, or with the least remaining work among those
+// that are about as fast. It returns an ejected candidate only if all are ejected.
 func leastLatency(candidates []candidate) int {
 	best := 0
 	for index := range candidates {
@@ -170,7 +192,7 @@
 			best = index
 		}
 	}
-	return best
+	return leastWork(candidates, best)
 }
 
 func withAdapter(candidates []candidate) []candidate {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/notice"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -59,10 +60,12 @@
 	Backlog int64 `json:"backlog,omitempty"`
 	// Tokens is the cache memory that the requests may use, in tokens.
 	Tokens int64 `json:"tokens,omitempty"`
+	// WorkMillis is the time for which the requests are still expected to occupy the server, added up; 0 if the host does not know.
+	WorkMillis int64 `json:"work_ms,omitempty"`
 }
 
 func (usage Usage) plus(other Usage) Usage {
-	return Usage{Running: usage.Running + other.Running, Backlog: usage.Backlog + other.Backlog, Tokens: usage.Tokens + other.Tokens}
+	return Usage{Running: usage.Running + other.Running, Backlog: usage.Backlog + other.Backlog, Tokens: usage.Tokens + other.Tokens, WorkMillis: usage.WorkMillis + other.WorkMillis}
 }
 
 type peerUsage struct {
@@ -82,7 +85,9 @@
 type serverState struct {
 	startedMillis int64
 	own           Usage
-	peers         map[string]peerUsage
+	// runs holds this host's running requests.
+	runs  map[*Run]struct{}
+	peers map[string]peerUsage
 	// others is the load by the requests of other hosts, as the server's lease holder knew it at othersAt.
 	others    Usage
 	othersAt  time.Time
@@ -106,6 +111,8 @@
 	ejections []Ejection
 	// gate bounds the requests to cold servers.
 	gate *warm.Gate
+	// costs is nil if the cost of requests is not learned.
+	costs *cost.Predictor
 }
 
 // Ejection is the decision to avoid a server for a while because of its errors.
@@ -158,7 +165,7 @@
 }
 
 func newServerState(server spec.Server) *serverState {
-	state := &serverState{startedMillis: server.StartedMillis, peers: map[string]peerUsage{}, tokenTime: initialTokenTime}
+	state := &serverState{startedMillis: server.StartedMillis, runs: map[*Run]struct{}{}, peers: map[string]peerUsage{}, tokenTime: initialTokenTime}
 	for _, model := range server.Models {
 		state.loaded = Loaded{Model: model.Model, Adapters: model.Adapters}
 	}
--- a/io/coord/evacuate.go
+++ b/io/coord/evacuate.go
@@ -43,7 +43,7 @@
 	log := control.coordinator.log
 	for _, dataCentre := range value.Sorted(next.Evacuated) {
 		if _, known := last.Evacuated[dataCentre]; !known {
-			servers, running := control.evacuatedLoad(next, dataCentre)
+			servers, running := control.evacuatedLoad(now, next, dataCentre)
 			log.Info("data centre evacuated", "data_centre", dataCentre, "servers", servers, "running", running)
 		}
 		// Before both tables have been read, servers and hosts may just not be known yet.
@@ -55,7 +55,7 @@
 	for _, dataCentre := range value.Sorted(last.Evacuated) {
 		if _, found := next.Evacuated[dataCentre]; !found {
 			delete(control.unknownLogged, dataCentre)
-			servers, running := control.evacuatedLoad(next, dataCentre)
+			servers, running := control.evacuatedLoad(now, next, dataCentre)
 			log.Info("evacuation ended", "data_centre", dataCentre, "servers", servers, "running", running,
 				"after_ms", now.Sub(last.Evacuated[dataCentre]).Milliseconds())
 			control.gaugeEvacuation(dataCentre, 0, 0)
@@ -78,8 +78,8 @@
 }
 
 // evacuatedLoad returns the number of servers in a data centre, and of this host's requests that run there.
-func (control *control) evacuatedLoad(view *spec.View, dataCentre string) (servers, running int) {
-	usage := control.coordinator.traffic.ownUsage()
+func (control *control) evacuatedLoad(now time.Time, view *spec.View, dataCentre string) (servers, running int) {
+	usage := control.coordinator.traffic.ownUsage(now)
 	for name, server := range view.Servers {
 		if server.DataCentre == dataCentre {
 			servers++
@@ -93,7 +93,7 @@
 func (control *control) reportEvacuations(now time.Time) {
 	view := control.coordinator.View()
 	for dataCentre, since := range view.Evacuated {
-		_, running := control.evacuatedLoad(view, dataCentre)
+		_, running := control.evacuatedLoad(now, view, dataCentre)
 		control.gaugeEvacuation(dataCentre, max(1, now.Sub(since).Seconds()), running)
 	}
 }
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -245,7 +245,7 @@
 // ownUsage returns the load of the host's requests. It is the same map for all messages of a short time.
 func (control *control) ownUsage(now time.Time) map[string]sched.Usage {
 	if control.usage == nil || now.Sub(control.usageAt) >= gossipInterval/4 {
-		control.usage, control.usageAt = control.coordinator.traffic.ownUsage(), now
+		control.usage, control.usageAt = control.coordinator.traffic.ownUsage(now), now
 	}
 	return control.usage
 }
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lentilproxy/core/cost"
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
 	"lentilproxy/core/retry"
@@ -68,7 +69,7 @@
 	gate := warm.New(coordinator.settings.Host.Name)
 	gate.SetBounds(coordinator.settings.Bounds.ColdOverage, coordinator.settings.Bounds.ColdAllowance)
 	traffic := &Traffic{
-		coordinator: coordinator, scheduler: sched.New(coordinator.settings.Host.DataCentre, sched.WithGate(gate)), gate: gate,
+		coordinator: coordinator, scheduler: newScheduler(coordinator.settings, gate), gate: gate,
 		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
 		budgets:  map[string]*retry.Budget{},
 		loads:    map[loadKey]*pendingLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
@@ -82,6 +83,13 @@
 	return traffic
 }
 
+func newScheduler(settings *setup.Settings, gate *warm.Gate) *sched.Scheduler {
+	if !settings.Admission.LearnCost {
+		return sched.New(settings.Host.DataCentre, sched.WithGate(gate))
+	}
+	return sched.New(settings.Host.DataCentre, sched.WithGate(gate), sched.WithCosts(cost.New()))
+}
+
 // updateView applies a new view.
 func (traffic *Traffic) updateView(now time.Time, view *spec.View) {
 	traffic.mutex.Lock()
@@ -189,10 +197,10 @@
 	return traffic.scheduler.Reports(now, servers)
 }
 
-func (traffic *Traffic) ownUsage() map[string]sched.Usage {
+func (traffic *Traffic) ownUsage(now time.Time) map[string]sched.Usage {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	return traffic.scheduler.OwnUsage()
+	return traffic.scheduler.UsageWithWork(now)
 }
 
 func (traffic *Traffic) takeEjections() []sched.Ejection {
@@ -254,6 +262,13 @@
 	return traffic.scheduler.Choose(now, service, view.Servers, job)
 }
 
+// Explain returns what Choose would choose now, and why. It changes nothing.
+func (traffic *Traffic) Explain(now time.Time, service spec.Service, view *spec.View, job sched.Job) sched.Explanation {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.scheduler.Explain(now, service, view.Servers, job)
+}
+
 // Start counts a request that is about to be sent to a server. The run has to be ended.
 func (traffic *Traffic) Start(now time.Time, server spec.Server, job sched.Job) *sched.Run {
 	traffic.mutex.Lock()
@@ -300,6 +315,27 @@
 	traffic.scheduler.RecordFirstToken(now, run)
 }
 
+// LearnsCost reports whether this host learns what requests cost.
+func (traffic *Traffic) LearnsCost() bool { return traffic.coordinator.settings.Admission.LearnCost }
+
+// RecordEvents records events of a response.
+func (traffic *Traffic) RecordEvents(now time.Time, run *sched.Run, count int) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.scheduler.RecordFirstToken(now, run)
+	traffic.scheduler.RecordEvents(run, count)
+}
+
+// Observe records what a request has cost its server. It must be called before its end is recorded.
+func (traffic *Traffic) Observe(run *sched.Run, observed cost.Observed) {
+	traffic.mutex.Lock()
+	verdict := traffic.scheduler.Observe(run, observed)
+	traffic.mutex.Unlock()
+	if traffic.LearnsCost() {
+		traffic.coordinator.metrics.Tagged(map[string]string{"verdict": string(verdict)}).Counter("cost_observations").Inc(1)
+	}
+}
+
 // End records the end of a request.
 func (traffic *Traffic) End(run *sched.Run) {
 	traffic.mutex.Lock()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -73,7 +73,7 @@
 	opened.open[0] = daemon.pool.Listen(opened.open[0])
 	daemon.gate = gate.New(settings, daemon.node, daemon.ledger, gate.WithLog(daemon.log), gate.WithMetrics(scope), gate.WithRecorder(daemon.reports),
 		gate.WithPool(daemon.pool))
-	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports))
+	operators, err := admin.New(daemon.node, admin.WithMetrics(metrics), admin.WithReports(daemon.reports), admin.WithExplain(daemon.gate.Explain))
 	if err != nil {
 		return nil, oops.Code("internal").Wrap(err)
 	}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -158,7 +158,11 @@
 }
 
 func (call *call) job() sched.Job {
-	job := sched.Job{PromptTokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, Avoid: call.avoid, Full: call.full}
+	job := sched.Job{
+		PromptTokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, Avoid: call.avoid, Full: call.full,
+		Route: call.route.Name, Workspace: call.workspace.Name,
+		EstimatedTokens: call.info.EstimatedTokens, SharedTokens: min(call.info.SharedTokens, call.info.PromptTokens),
+	}
 	if call.target.Engine != nil {
 		job.Ref = call.info.Model
 		job.MinVersion = call.view.Versions[call.info.Model]
@@ -171,22 +175,27 @@
 	call.view = call.service.coordinator.View()
 	now := clock.Now()
 	choice, found := call.service.coordinator.Traffic().Choose(now, call.target, call.view, call.job())
+	if found && choice.ReplicateTo != "" {
+		call.service.coordinator.Replicate(call.view.Servers[choice.ReplicateTo], call.info.Model.Adapter)
+	}
+	return choice, call.choiceRefusal(now, choice, found)
+}
+
+// choiceRefusal returns the refusal of a request for which no server was found, or none that responds in time; otherwise nil.
+func (call *call) choiceRefusal(now time.Time, choice sched.Choice, found bool) *refuse.Refusal {
 	if !found {
 		if call.view.AllEvacuated(call.target.Name) {
-			return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers' data centres are evacuated").WithRetryAfter(evacuatedRetryAfter)
+			return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers' data centres are evacuated").WithRetryAfter(evacuatedRetryAfter)
 		}
 		if pause := call.pause(now); pause > 0 {
-			return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers have asked for a pause").WithRetryAfter(pause)
+			return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers have asked for a pause").WithRetryAfter(pause)
 		}
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server can take the request now").WithRetryAfter(capacityRetryAfter)
-	}
-	if choice.ReplicateTo != "" {
-		call.service.coordinator.Replicate(call.view.Servers[choice.ReplicateTo], call.info.Model.Adapter)
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeNoCapacity, "no backend server can take the request now").WithRetryAfter(capacityRetryAfter)
 	}
 	if wait := choice.Expected - call.firstEventDeadline.Sub(now); call.target.Engine != nil && wait > 0 && !call.exchange.Begun() {
-		return choice, refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time").WithRetryAfter(wait)
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeOverloaded, "the backend servers are too busy to answer in time").WithRetryAfter(wait)
 	}
-	return choice, nil
+	return nil
 }
 
 // pause returns how long no server takes requests because all have asked for a pause; 0 if that is shorter than the request
@@ -244,6 +253,7 @@
 	traffic := call.service.coordinator.Traffic()
 	run := traffic.Start(clock.Now(), server, call.job())
 	defer traffic.End(run)
+	call.expectedWork = run.ExpectedWork()
 	prompt := call.pace(server)
 	defer prompt.Done()
 	if prompt.Missing() {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -93,7 +93,9 @@
 	target     spec.Service
 	// workspace is empty on open routes.
 	workspace spec.Workspace
-	deadline  time.Time
+	// assumedWorkspace is set for requests that are explained, which have no key.
+	assumedWorkspace string
+	deadline         time.Time
 	// firstEventDeadline is when the caller stops waiting for the beginning of a response.
 	firstEventDeadline time.Time
 	// cost is the amount that the request charges to its workspace's limit.
@@ -122,6 +124,8 @@
 	// longestPause is the longest time between two events of the stream.
 	longestPause time.Duration
 	loadTime     time.Duration
+	// expectedWork is the work that the last attempt was expected to cost its server, or 0.
+	expectedWork time.Duration
 	// paceTime is how long the request was held back so that prompts are spread.
 	paceTime time.Duration
 	// dispatched is the state of a request to a plain service whose servers are assigned by a dispatcher.
@@ -187,8 +191,16 @@
 	return call.authenticate()
 }
 
-// admit decides whether the request may be served.
+// admit decides whether the request may be served, and charges it.
 func (call *call) admit(ctx context.Context) *refuse.Refusal {
+	if refusal := call.examine(); refusal != nil {
+		return refusal
+	}
+	return call.charge(ctx)
+}
+
+// examine decides whether the request may be served, apart from its workspace's limit. It changes nothing but the call.
+func (call *call) examine() *refuse.Refusal {
 	if refusal := call.identify(); refusal != nil {
 		return refusal
 	}
@@ -203,10 +215,7 @@
 	call.target = target
 	call.digest = requestDigest(call)
 	call.parts = call.crashParts()
-	if refusal := call.checkBlocked(); refusal != nil {
-		return refusal
-	}
-	return call.charge(ctx)
+	return call.checkBlocked()
 }
 
 // crashParts returns what the request may have in common with others that crash servers. The last part of the prompt
@@ -242,6 +251,10 @@
 	if call.route.Open || !call.view.Config.RequiresKeys() {
 		return nil
 	}
+	if call.assumedWorkspace != "" {
+		call.workspace = call.view.Config.Workspaces()[call.assumedWorkspace]
+		return nil
+	}
 	workspace, found := call.view.Config.WorkspaceByKey(call.info.Key)
 	switch {
 	case found:
@@ -259,15 +272,25 @@
 	if call.workspace.Rate <= 0 {
 		return nil
 	}
-	call.cost = 1
-	if call.workspace.Metered {
-		call.cost = float64(call.info.PromptTokens + call.info.OutputTokens)
-		if call.cost == 0 {
-			call.cost = call.workspace.DefaultTokens
-		}
-	}
+	call.cost = call.limitCost()
 	receipt, outcome := call.service.coordinator.Traffic().Charge(ctx, call.workspace.Name, call.cost)
 	call.receipt = receipt
+	return call.limitRefusal(outcome)
+}
+
+// limitCost returns what the request charges to its workspace's limit.
+func (call *call) limitCost() float64 {
+	if !call.workspace.Metered {
+		return 1
+	}
+	if cost := float64(call.info.PromptTokens + call.info.OutputTokens); cost > 0 {
+		return cost
+	}
+	return call.workspace.DefaultTokens
+}
+
+// limitRefusal returns the refusal of a request that its workspace's limit does not allow, or nil.
+func (call *call) limitRefusal(outcome limit.Outcome) *refuse.Refusal {
 	switch outcome {
 	case limit.Charged, limit.Unlimited:
 		return nil
