A coordinator that ends does not read whether it has joined

Cause: renewLease read a variable that the control goroutine might still write, since do returns early when the coordinator ends. The race detector reported it in TestResponseRevisionsCountOnceConfirmed. Change: renewLease returns if do does.

--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -37,7 +37,9 @@
 func (control *control) renewLease(startedAt time.Time) (due time.Time, renewed bool) {
 	coordinator := control.coordinator
 	joined := false
-	coordinator.do(func(time.Time) { joined = control.registry.Joined() })
+	if !coordinator.do(func(time.Time) { joined = control.registry.Joined() }) {
+		return time.Time{}, false
+	}
 	if !joined && !control.scanFleet() {
 		// A host must have read the rows of the other hosts before it joins.
 		return time.Time{}, false
