Late requests to plain services are refused once others take all slots

Change: after 500 ms in which such requests have waited without a break, late ones are refused at once, with the Retry-After of other refusals. Test: TestLateRequestsAreRefusedUnderOverload; the property and the bursts pass as before.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -25,6 +25,9 @@
 	expiryGrace = 250 * time.Millisecond
 	// UsageLifetime is how long a host's report of requests that this queue has not assigned counts.
 	UsageLifetime = 2500 * time.Millisecond
+	// overloadAfter is how long requests that can be in time have to wait without a break before late ones are refused. A shorter
+	// burst leaves slots to the late ones before their deadline.
+	overloadAfter = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should return.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
@@ -82,6 +85,8 @@
 	ReasonBusy Reason = "busy"
 	// ReasonExpired means that the request has waited until its deadline left no time for its work.
 	ReasonExpired Reason = "expired"
+	// ReasonLate means that the request can no longer be in time, and that requests which can take all slots.
+	ReasonLate Reason = "late"
 	// ReasonQueueFull means that too many requests wait.
 	ReasonQueueFull Reason = "queue_full"
 	// ReasonNoServer means that the request must not be sent to any of the servers.
@@ -147,6 +152,8 @@
 	// refusals maps refused requests to the time at which they should return, and nextReturn is when the next one should.
 	refusals   *value.Recent[refusalKey, time.Time]
 	nextReturn time.Time
+	// timelySince is since when requests that can be in time have waited without a break; zero if none waits.
+	timelySince time.Time
 }
 
 type refusalKey struct {
@@ -252,7 +259,9 @@
 // Next returns the assignments and refusals that can be decided now.
 func (queue *Queue) Next(now time.Time) []Decision {
 	queue.expire(now)
+	queue.recordContention(now)
 	decisions := queue.refuseExpired(now)
+	defer queue.recordContention(now)
 	for len(queue.waiting) > 0 {
 		index, server := queue.pick(now)
 		if server == nil {
@@ -278,6 +287,8 @@
 		switch {
 		case !queue.hasServerFor(waiting.request):
 			decisions = append(decisions, Decision{Ticket: waiting.request.Ticket, Reason: ReasonNoServer, Ahead: waiting.ahead, Waited: now.Sub(waiting.arrivedAt)})
+		case queue.overloaded(now) && waiting.late(now) && now.After(waiting.arrivedAt):
+			decisions = append(decisions, queue.refuse(now, waiting, ReasonLate))
 		case expired:
 			decisions = append(decisions, queue.refuse(now, waiting, ReasonExpired))
 		default:
@@ -289,6 +300,25 @@
 	return decisions
 }
 
+// overloaded reports whether requests that can be in time have waited for so long without a break that late ones would wait until
+// their deadline in vain.
+func (queue *Queue) overloaded(now time.Time) bool {
+	return !queue.timelySince.IsZero() && now.Sub(queue.timelySince) >= overloadAfter
+}
+
+// recordContention records since when there are requests that can be in time and have to wait.
+func (queue *Queue) recordContention(now time.Time) {
+	for _, waiting := range queue.waiting {
+		if !waiting.late(now) {
+			if queue.timelySince.IsZero() {
+				queue.timelySince = now
+			}
+			return
+		}
+	}
+	queue.timelySince = time.Time{}
+}
+
 // latestStart returns until when the request can still end before its deadline.
 func (waiting *waiting) latestStart() time.Time {
 	return waiting.request.Deadline.Add(-waiting.class.mean)
@@ -307,6 +337,7 @@
 	}
 	for _, waiting := range queue.waiting {
 		consider(waiting.latestStart())
+		consider(waiting.lateFrom())
 	}
 	for _, assignment := range queue.assignments {
 		consider(assignment.expires)
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -327,3 +327,36 @@
 		}
 	})
 }
+
+// Guards against callers who wait until their deadline although requests that can still be in time take all slots.
+func TestLateRequestsAreRefusedUnderOverload(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	queue := New(start)
+	queue.SetServers([]Server{{ID: "s", StartedMillis: 1, Slots: 1}})
+	add := func(now time.Time, number int64) Ticket {
+		ticket := Ticket{Host: "h", ID: number}
+		_, refused := queue.Add(now, Request{Ticket: ticket, Workspace: "w", Class: "c", Due: now.Add(300 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond)})
+		is.True(!refused)
+		return ticket
+	}
+	add(start, 1) // Takes the slot until the end.
+	is.Equal(len(queue.Next(start)), 1)
+	waiting := add(start, 2)
+	var refusedAt time.Time
+	for number, now := int64(3), start; refusedAt.IsZero() && now.Before(start.Add(time.Second)); now = now.Add(50 * time.Millisecond) {
+		if number++; number%4 == 0 {
+			add(now, number) // There is always a request that can be in time.
+		}
+		for _, decision := range queue.Next(now) {
+			if decision.Ticket == waiting {
+				is.Equal(decision.Reason, ReasonLate)
+				is.True(decision.RetryAfter > 0)
+				refusedAt = now
+			}
+		}
+	}
+	is.True(!refusedAt.IsZero())
+	is.True(!refusedAt.Before(start.Add(overloadAfter)))
+	is.True(refusedAt.Before(start.Add(overloadAfter + 100*time.Millisecond)))
+}
--- a/core/admit/order.go
+++ b/core/admit/order.go
@@ -60,8 +60,11 @@
 }
 
 // late reports whether a request can no longer end before it is due.
-func (waiting *waiting) late(now time.Time) bool {
-	return now.Add(time.Duration(workMargin * float64(waiting.class.mean))).After(waiting.request.Due)
+func (waiting *waiting) late(now time.Time) bool { return now.After(waiting.lateFrom()) }
+
+// lateFrom returns until when a request can still end before it is due.
+func (waiting *waiting) lateFrom() time.Time {
+	return waiting.request.Due.Add(-time.Duration(workMargin * float64(waiting.class.mean)))
 }
 
 // pick returns the index of the next request and its server. The server is nil if none can be assigned.
