A host that was expelled sends nothing to cold servers until it has joined again

Cause: a host that never saw that its row was missing, since it read rows from before and after, went on sending by its share, while others no longer counted it. In the test, hosts add their rows themselves, as only they can, and learn of the expulsion by that.

--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -43,6 +43,8 @@
 	// provenAt is the time as of which the host knows all rows of hosts, and ownSince when it first saw its own row among them.
 	provenAt time.Time
 	ownSince time.Time
+	// expelled is set from the time at which the host learns that its row was removed until it has added it again.
+	expelled bool
 	// hosts maps the hosts that are counted to the times at which their rows were removed, which are zero for present ones.
 	hosts map[string]time.Time
 	// revision counts the changes of the names in hosts.
@@ -99,11 +101,18 @@
 	switch {
 	case !own:
 		gate.ownSince = time.Time{}
-	case gate.ownSince.IsZero():
+	case gate.ownSince.IsZero() && !gate.expelled:
 		gate.ownSince = now
 	}
 }
 
+// Leave records that other hosts have removed the host's row. It sends nothing until Join, whatever rows it knows: it may never see
+// that its row was missing.
+func (gate *Gate) Leave() { gate.expelled, gate.ownSince = true, time.Time{} }
+
+// Join records that the host has added its row.
+func (gate *Gate) Join(now time.Time) { gate.expelled, gate.ownSince = false, now }
+
 // Prove records that the host knows all rows of hosts as of a time.
 func (gate *Gate) Prove(provenAt time.Time) {
 	if provenAt.After(gate.provenAt) {
--- a/core/warm/warm_test.go
+++ b/core/warm/warm_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -78,7 +79,10 @@
 	case choice == 3:
 		// Other hosts have expelled it.
 		delete(fleet.rows, name)
-	default:
+	case !fleet.rows[name]:
+		// Its renewal was refused, so it adds its row again. No other host can do that.
+		host.gate.Leave()
+		host.gate.Join(now)
 		fleet.rows[name] = true
 	}
 }
@@ -109,16 +113,12 @@
 			checkFrom = coldAt.Add(maxLate + maxTransit)
 		}
 		for now := start; now.Before(until); now = now.Add(testStep) {
-			names := []string{}
-			for name := range fleet.rows {
-				names = append(names, name)
-			}
-			fleet.history = append(fleet.history, names)
+			fleet.history = append(fleet.history, value.Sorted(fleet.rows))
 			if fleet.random.IntN(25) == 0 {
 				fleet.disturb(now, restart(now))
 			}
-			for _, host := range fleet.hosts {
-				fleet.step(now, host, until, warmBefore)
+			for _, name := range value.Sorted(fleet.hosts) {
+				fleet.step(now, fleet.hosts[name], until, warmBefore)
 			}
 		}
 		slices.SortFunc(fleet.arrivals, time.Time.Compare)
--- a/io/coord/evacuate.go
+++ b/io/coord/evacuate.go
@@ -136,3 +136,16 @@
 	}
 	return taken
 }
+
+// recordExpulsion records that other hosts have removed this host's row, and recordJoin that it has added its row.
+func (traffic *Traffic) recordExpulsion() {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.gate.Leave()
+}
+
+func (traffic *Traffic) recordJoin(now time.Time) {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	traffic.gate.Join(now)
+}
--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -61,7 +61,7 @@
 
 func (control *control) applyRenewal(sentAt, now time.Time, result lentilproxy.CommitResult, err error) {
 	coordinator := control.coordinator
-	leased := control.registry.Leased(now)
+	leased, joined := control.registry.Leased(now), control.registry.Joined()
 	switch {
 	case err != nil:
 		coordinator.metrics.Counter("lease_renewals_failed").Inc(1)
@@ -72,6 +72,7 @@
 	case !result.Committed:
 		if control.registry.RenewalRefused(now, result.Conflicts) {
 			coordinator.log.Info("lease lost", "reason", "another host has expelled this one")
+			coordinator.traffic.recordExpulsion()
 			control.updateControllers(now, coordinator.View())
 		}
 	default:
@@ -82,6 +83,9 @@
 			control.renewalFailingSince = time.Time{}
 		}
 	}
+	if !joined && control.registry.Joined() {
+		coordinator.traffic.recordJoin(now)
+	}
 }
 
 // scanFleet reads the rows of hosts and holders before the host joins.
