--- a/io/coord/store_test.go
+++ b/io/coord/store_test.go
@@ -185,9 +185,6 @@
 // Guards against hosts that read each table by themselves although they hear of it from peers: the servers' table changes with each
 // heartbeat of a server, and the table of hosts with each renewal. Hosts that do not reach the store get changes from peers.
 func TestFewCallsToTheStoreWithManyHosts(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes 15 s")
-	}
 	is := is.New(t)
 	const hosts, servers = 24, 30
 	store := newCountingStore()
@@ -237,9 +234,6 @@
 // Guards against hosts that lose their leases when the host that writes their renewals stops responding, against a writer whose
 // transaction fails as a whole since one of its hosts was expelled, and against expelled hosts that do not find out.
 func TestHostsKeepTheirLeasesWithoutTheirWriter(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes 20 s")
-	}
 	is := is.New(t)
 	const hosts = 14
 	store := newCountingStore()
