Pacers choose their hosts by hostRank

The choice of a host by rendezvous hashing, with hosts that are avoided for a while, stood twice: in pace.go and, for dispatchers, in rank.go. Behaviour is the same; the tests of io/coord pass.

--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
-	"lentilproxy/core/lease"
 	"lentilproxy/core/pace"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
-	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 )
 
@@ -82,12 +79,8 @@
 	mutex      sync.Mutex
 	servers    map[spec.Incarnation]*serverPacer
 	lastTicket int64
-	// hosts are the hosts that may pace servers, with their addresses; that of this host is empty.
-	hosts map[string]string
-	// preferred caches the host of each server.
-	preferred map[string]string
-	// avoidedUntil maps hosts that did not respond to the time until which they are not asked.
-	avoidedUntil map[string]time.Time
+	// rank holds the hosts that may pace servers.
+	rank *hostRank
 	// reportedAt is when a pause on each server was last reported.
 	reportedAt map[string]time.Time
 	// uses holds the grants for the servers whose lease holder this host is.
@@ -102,8 +95,7 @@
 
 func newPacers() *pacers {
 	return &pacers{
-		servers: map[spec.Incarnation]*serverPacer{}, hosts: map[string]string{}, preferred: map[string]string{},
-		avoidedUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, uses: newUses(),
+		servers: map[spec.Incarnation]*serverPacer{}, rank: newHostRank(), reportedAt: map[string]time.Time{}, uses: newUses(),
 	}
 }
 
@@ -111,11 +103,7 @@
 func (pacers *pacers) setHosts(hosts map[string]string) {
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
-	if maps.Equal(hosts, pacers.hosts) {
-		return
-	}
-	pacers.hosts = hosts
-	clear(pacers.preferred)
+	pacers.rank.setHosts(hosts)
 }
 
 // retain drops the state of servers that are not registered.
@@ -139,40 +127,21 @@
 func (pacers *pacers) hostFor(now time.Time, server string) (name, address string, found bool) {
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
-	for host, until := range pacers.avoidedUntil {
-		if !now.Before(until) {
-			delete(pacers.avoidedUntil, host)
-			clear(pacers.preferred)
-		}
-	}
-	name, known := pacers.preferred[server]
-	if !known {
-		candidates := make([]string, 0, len(pacers.hosts))
-		for _, host := range value.Sorted(pacers.hosts) {
-			if _, avoided := pacers.avoidedUntil[host]; !avoided {
-				candidates = append(candidates, host)
-			}
-		}
-		name = lease.Preferred(server, candidates)
-		pacers.preferred[server] = name
-	}
-	address, found = pacers.hosts[name]
-	return name, address, found
+	return pacers.rank.hostFor(now, server)
 }
 
 // avoided reports whether a host is not asked for a while.
 func (pacers *pacers) avoided(now time.Time, host string) bool {
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
-	return now.Before(pacers.avoidedUntil[host])
+	return pacers.rank.avoided(now, host)
 }
 
 // avoid stops asking a host for a while.
 func (pacers *pacers) avoid(now time.Time, host string) {
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
-	pacers.avoidedUntil[host] = now.Add(pacerAvoidance)
-	clear(pacers.preferred)
+	pacers.rank.avoid(host, now.Add(pacerAvoidance))
 }
 
 // handlePace handles a request to send a prompt. It returns once the prompt may be sent, or can no longer wait.
--- a/io/coord/rank.go
+++ b/io/coord/rank.go
@@ -55,6 +55,11 @@
 	return name, address, found
 }
 
+// avoided reports whether a host is passed over.
+func (hostRank *hostRank) avoided(now time.Time, host string) bool {
+	return now.Before(hostRank.avoidedUntil[host])
+}
+
 // avoid passes over a host until a time.
 func (hostRank *hostRank) avoid(host string, until time.Time) {
 	hostRank.avoidedUntil[host] = until
