--- a/core/slots/grants_test.go
+++ b/core/slots/grants_test.go
@@ -135,3 +135,37 @@
 	is.Equal(grants.TakeDemand(), map[string]float64{"a": 2})
 	is.Equal(len(grants.TakeDemand()), 0)
 }
+
+// Guards against requests that wait for two seconds for adapters of a server that has crashed, while other servers could load them.
+func TestUnreachableServerRejectsLoads(t *testing.T) {
+	for name, fail := range map[string]func(controller *Controller, order lentilproxy.Order){
+		"refuses connections": func(controller *Controller, _ lentilproxy.Order) { controller.MarkUnreachable(start) },
+		"does not respond": func(controller *Controller, order lentilproxy.Order) {
+			for range maxRepeats + 1 {
+				controller.MarkUnanswered(start, order)
+			}
+		},
+		"sends no report": func(controller *Controller, _ lentilproxy.Order) {
+			controller.MarkOutcomeUnknown(start)
+			controller.ReportFailed(start)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			engine := newEngine(4)
+			controller := New("m", engine.capacity, start)
+			controller.ApplyReport(start, engine.report(start))
+			is.Equal(controller.Request(start, "a", 1), LoadPending)
+			order, _ := controller.NextOrder(start, true)
+			controller.MarkSent(start, order)
+			is.Equal(controller.Request(start, "b", 1), LoadPending)
+			fail(controller, order)
+			is.Equal(controller.State(start, "b"), LoadRejected)
+			is.Equal(controller.Request(start, "c", 1), LoadRejected)
+			later := start.Add(resyncDelay)
+			is.True(controller.ReportDue(later))
+			controller.ApplyReport(later, engine.report(later))
+			is.Equal(controller.Request(later, "c", 1), LoadPending)
+		})
+	}
+}
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -52,11 +52,19 @@
 		controller.modelOrderAt = now
 	}
 	controller.sequence = report.Sequence
-	controller.synced, controller.hasReport = true, true
+	controller.synced, controller.hasReport, controller.unreachable = true, true, false
 }
 
 // ReportFailed records that the server did not send a report, and schedules the next request.
-func (controller *Controller) ReportFailed(now time.Time) { controller.resyncAt = now.Add(resyncDelay) }
+func (controller *Controller) ReportFailed(now time.Time) {
+	controller.resyncAt, controller.unreachable = now.Add(resyncDelay), true
+}
+
+// MarkUnreachable records that the server refuses connections. It loads nothing until its next report.
+func (controller *Controller) MarkUnreachable(now time.Time) {
+	controller.MarkOutcomeUnknown(now)
+	controller.unreachable = true
+}
 
 // removeUnloaded removes an adapter that the server has unloaded. The server keeps a copy of it for a while.
 func (controller *Controller) removeUnloaded(now time.Time, adapter string) {
@@ -175,10 +183,14 @@
 // sent again: if the server has carried it out, or is carrying it out, it says so, and if it receives the first one later, it refuses
 // that for its sequence.
 func (controller *Controller) MarkUnanswered(now time.Time, order lentilproxy.Order) {
-	if order.Ref.Adapter == "" || controller.repeats >= maxRepeats {
+	if order.Ref.Adapter == "" {
 		controller.MarkOutcomeUnknown(now)
 		return
 	}
+	if controller.repeats >= maxRepeats {
+		controller.MarkUnreachable(now)
+		return
+	}
 	controller.unanswered = &order
 	controller.repeats++
 }
--- a/core/slots/request.go
+++ b/core/slots/request.go
@@ -75,6 +75,11 @@
 	case entry.phase == ready && !entry.replacing && controller.inUse(now, adapter):
 		// Requests use the previous version. The new one is loaded on another server meanwhile.
 		return LoadRejected
+	case entry.phase != ready && controller.unreachable:
+		if entry.phase == requested {
+			delete(controller.entries, adapter)
+		}
+		return LoadRejected
 	case entry.phase == requested && (controller.blocked(now) || controller.requestedCount() > maxRequested || controller.allSlotsInUse(now)):
 		delete(controller.entries, adapter)
 		return LoadRejected
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"lentilproxy"
@@ -277,6 +278,7 @@
 func (control *control) applyReport(now time.Time, controller *controller, report spec.Report, err error) {
 	if err != nil {
 		controller.slots.ReportFailed(now)
+		control.notifyChange(controller)
 		return
 	}
 	controller.slots.ApplyReport(now, report)
@@ -289,7 +291,11 @@
 	coordinator := control.coordinator
 	known := controller.slots.HasAdapter(order)
 	if err != nil {
-		controller.slots.MarkUnanswered(now, order)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			controller.slots.MarkUnreachable(now)
+		} else {
+			controller.slots.MarkUnanswered(now, order)
+		}
 		coordinator.log.Info("order outcome unknown", "server", controller.server.ID, "adapter", order.Ref.String(), "kind", order.Kind,
 			"sequence", order.Sequence, "token", order.Token, "error", err.Error())
 	} else {
