--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -183,14 +183,10 @@
 // sent again: if the server has carried it out, or is carrying it out, it says so, and if it receives the first one later, it refuses
 // that for its sequence.
 func (controller *Controller) MarkUnanswered(now time.Time, order lentilproxy.Order) {
-	if order.Ref.Adapter == "" {
+	if order.Ref.Adapter == "" || controller.repeats >= maxRepeats {
 		controller.MarkOutcomeUnknown(now)
 		return
 	}
-	if controller.repeats >= maxRepeats {
-		controller.MarkUnreachable(now)
-		return
-	}
 	controller.unanswered = &order
 	controller.repeats++
 }
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -126,7 +126,7 @@
 	// synced reports whether the state matches the server's: a report was applied, and the outcome of every later order
 	// is known.
 	synced bool
-	// unreachable is set once the server refuses connections or has not responded to an order and its repeats, until its next report.
+	// unreachable is set while the server refuses connections or sends no report.
 	unreachable bool
 	// hasReport is set once a report has been applied.
 	hasReport bool
