--- a/core/cost/class.go
+++ b/core/cost/class.go
@@ -100,7 +100,12 @@
 	case scaleAnnounced:
 		return math.Log(float64(max(1, request.OutputTokens))), request.OutputTokens > 0
 	case scaleEstimated:
-		return math.Log(float64(max(1, request.EstimatedTokens))), request.EstimatedTokens > 0
+		estimated := request.EstimatedTokens
+		if request.OutputTokens > 0 {
+			// No response is longer than announced, whatever the caller estimates.
+			estimated = min(estimated, request.OutputTokens)
+		}
+		return math.Log(float64(max(1, estimated))), request.EstimatedTokens > 0
 	default:
 		return 0, true
 	}
