Weigh the expected load time of adapters when choosing servers

With learned costs, each load was expected to take 280 ms, although a server loads an adapter that it has unloaded recently in about 25 ms, without the weight store, and a load from a busy weight store takes longer.

- core/cost learns the times of loads that lease holders report (load_ms of the result), of two kinds: on servers that are expected to have a copy, and on others.
- core/sched remembers what servers have unloaded.
A server with a copy comes first unless it is busier by more than twice the difference of the load times; a load costs twice its time, since it delays others as much.
- A further replica is added once it would have saved as much waiting as its load costs.
- Explanations show the expected load time and whether a copy is expected.

Without learned costs, nothing changes.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -50,6 +50,9 @@
 	loaded   bool
 	// rank is the hash of the adapter and the server. Candidates are sorted by it (rendezvous hashing).
 	rank uint64
+	// load is the expected time to load the adapter, and copy whether the server is expected to have a copy of it.
+	load time.Duration
+	copy bool
 	// work is the remaining work by slot, and own that of the request itself; 0 if the cost of requests is not known.
 	work, own time.Duration
 }
@@ -69,9 +72,7 @@
 		if !found {
 			return Choice{}, false
 		}
-		choice := choiceOf(preferred)
-		choice.Load, choice.Expected = true, choice.Expected+loadLatency
-		return choice, true
+		return choiceWithLoad(preferred), true
 	}
 	best := loaded[leastLatency(loaded)]
 	choice := choiceOf(best)
@@ -82,17 +83,16 @@
 	if !found || (!best.ejected && best.expected < replicateAbove) {
 		return choice, true
 	}
-	if best.ejected || best.expected > other.expected+2*loadLatency {
+	if best.ejected || best.expected > other.withLoad() {
 		// The best server is ejected, or its queue takes longer than loading the adapter on the other server.
-		choice = choiceOf(other)
-		choice.Load, choice.Expected = true, choice.Expected+loadLatency
-		return choice, true
+		return choiceWithLoad(other), true
 	}
-	if now.Sub(scheduler.replicated[job.Ref]) >= replicateInterval {
+	if scheduler.replicaPays(now, job.Ref, best, other) && now.Sub(scheduler.replicated[job.Ref]) >= replicateInterval {
 		if len(scheduler.replicated) >= maxReplicatedEntries {
 			clear(scheduler.replicated)
 		}
 		scheduler.replicated[job.Ref] = now
+		delete(scheduler.saved, job.Ref)
 		choice.ReplicateTo = other.server.ID
 	}
 	return choice, true
@@ -120,6 +120,9 @@
 		if job.Ref.Adapter == "" {
 			option.loaded = true
 		}
+		if service.Engine != nil && !option.loaded {
+			scheduler.expectLoad(now, &option, job)
+		}
 		option.expected = scheduler.expected(now, service, server, state, job)
 		candidates = append(candidates, option)
 	}
@@ -205,21 +208,33 @@
 	return loaded
 }
 
-// preferredForLoad returns the first server in an adapter's rank order that can load it, has an expected latency below
-// a bound, and is not much busier than the least busy such server. The rank order is stable, so that a server is chosen
-// again for adapters that it had loaded recently.
+// preferredForLoad returns the server that loads an adapter: the first one in the adapter's rank order that can load it, has an expected
+// latency below a bound, and is not much busier than the least busy such server. The rank order is stable, so that a server is chosen
+// again for adapters that it had loaded recently. Servers that are expected to have a copy of the adapter come before all others, unless
+// the least busy of them is busier by more than the copy saves.
 func preferredForLoad(candidates []candidate, below time.Duration, full value.Set[string]) (candidate, bool) {
-	lowest := time.Duration(math.MaxInt64)
 	usable := func(option candidate) bool {
 		return !full.Has(option.server.ID) && option.state.loaded.Orderable && !option.loaded && !option.ejected && option.expected < below
 	}
-	for _, option := range candidates {
-		if usable(option) {
-			lowest = min(lowest, option.expected)
+	var leastBusy, leastBusyCopy *candidate
+	for index := range candidates {
+		option := &candidates[index]
+		least := &leastBusy
+		if option.copy {
+			least = &leastBusyCopy
+		}
+		if usable(*option) && (*least == nil || option.expected < (*least).expected) {
+			*least = option
 		}
 	}
+	if leastBusy == nil || (leastBusyCopy != nil && leastBusyCopy.withLoad() <= leastBusy.withLoad()) {
+		leastBusy = leastBusyCopy
+	}
+	if leastBusy == nil {
+		return candidate{}, false
+	}
 	for _, option := range candidates {
-		if usable(option) && option.expected <= lowest+preferredSlack {
+		if usable(option) && option.copy == leastBusy.copy && option.expected <= leastBusy.expected+preferredSlack {
 			return option, true
 		}
 	}
--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -22,10 +22,12 @@
 	unknownRemaining = 0.5
 )
 
-// WithCosts makes the scheduler learn the cost of requests, and choose servers by their remaining work once it has observed
-// enough requests of a route.
+// WithCosts makes the scheduler learn the cost of requests and of adapter loads. It chooses servers by their remaining work once it has
+// observed enough requests of a route, and servers that load an adapter by their expected load time.
 func WithCosts(predictor *cost.Predictor) Option {
-	return func(scheduler *Scheduler) { scheduler.costs = predictor }
+	return func(scheduler *Scheduler) {
+		scheduler.costs, scheduler.loads, scheduler.saved = predictor, cost.NewLoads(loadLatency), map[spec.AdapterRef]savedWaits{}
+	}
 }
 
 // expectation is the expected cost of a run, and what has been seen of it. The zero value expects nothing.
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -19,6 +19,8 @@
 	// Loaded reports whether the server has the adapter; LoadMS is the expected time to load it, or -1 if nobody can order that.
 	Loaded bool  `json:"loaded"`
 	LoadMS int64 `json:"load_ms,omitempty"`
+	// RecentCopy reports whether the server is expected to have a copy of the adapter, since it has unloaded it recently.
+	RecentCopy bool `json:"recent_copy,omitempty"`
 	// ExpectedMS is the expected time to the first token, and a measure of the load for services that run no models.
 	ExpectedMS int64 `json:"expected_ms"`
 	// WorkMS is the remaining work by slot; 0 if the cost of requests is not known.
@@ -87,7 +89,7 @@
 	if service.Engine != nil && job.Ref.Model != "" && !option.loaded {
 		explained.LoadMS = -1
 		if _, found := preferredForLoad([]candidate{option}, math.MaxInt64, job.Full); found {
-			explained.LoadMS = loadLatency.Milliseconds()
+			explained.LoadMS, explained.RecentCopy = option.load.Milliseconds(), option.copy
 		}
 	}
 	return explained
@@ -102,6 +104,7 @@
 		copied.servers[name] = &copiedState
 	}
 	copied.replicated = maps.Clone(scheduler.replicated)
+	copied.saved = maps.Clone(scheduler.saved)
 	copied.ejections = nil
 	return &copied
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -32,8 +32,6 @@
 	// overloadPenalty is the expected wait if the requests exceed a server's slots or its cache memory by 100%. The wait
 	// is proportional to the excess.
 	overloadPenalty = 700 * time.Millisecond
-	// loadLatency is the expected time to load an adapter on a server.
-	loadLatency = 280 * time.Millisecond
 	// replicateAbove is the expected latency from which a further replica of an adapter is worth its slot.
 	replicateAbove = 150 * time.Millisecond
 	// replicateInterval is the least time between two replications of one adapter.
@@ -94,7 +92,10 @@
 	tokenTime time.Duration
 	// loaded is what the lease holder reported last; until then, the registration counts.
 	loaded Loaded
-	health health
+	// reported is set once a lease holder has reported what is loaded.
+	reported bool
+	copies   copies
+	health   health
 }
 
 // Scheduler tracks the load and health of backend servers on one host and chooses servers for its requests. It is not
@@ -113,6 +114,10 @@
 	gate *warm.Gate
 	// costs is nil if the cost of requests is not learned.
 	costs *cost.Predictor
+	// loads is nil if the load times of adapters are not learned.
+	loads *cost.Loads
+	// saved holds the waits that further replicas of adapters would have saved.
+	saved map[spec.AdapterRef]savedWaits
 }
 
 // Ejection is the decision to avoid a server for a while because of its errors.
@@ -175,6 +180,7 @@
 // SetLoaded records what an incarnation of a server has loaded, as reported by its lease holder.
 func (scheduler *Scheduler) SetLoaded(name string, startedMillis int64, loaded Loaded) {
 	if state := scheduler.servers[name]; state != nil && state.startedMillis == startedMillis {
+		scheduler.recordUnloads(state, loaded)
 		state.loaded = loaded
 	}
 }
@@ -203,6 +209,7 @@
 // RemoveAdapter records that a server does not have an adapter, since it has refused a request for it.
 func (scheduler *Scheduler) RemoveAdapter(name, adapter string) {
 	if state := scheduler.servers[name]; state != nil {
+		scheduler.recordUnload(state, adapter)
 		// Gossip messages share the map.
 		adapters := maps.Clone(state.loaded.Adapters)
 		delete(adapters, adapter)
--- a/core/slots/counts.go
+++ b/core/slots/counts.go
@@ -157,7 +157,7 @@
 func (controller *Controller) loadingCount() int {
 	count := 0
 	for _, entry := range controller.entries {
-		if entry.phase == loading || entry.replacing {
+		if entry.isLoading() {
 			count++
 		}
 	}
@@ -179,7 +179,7 @@
 func (controller *Controller) storeLoadingCount() int {
 	count := 0
 	for name, entry := range controller.entries {
-		if _, kept := controller.recentlyUnloaded[name]; (entry.phase == loading || entry.replacing) && !kept {
+		if _, kept := controller.recentlyUnloaded[name]; entry.isLoading() && !kept {
 			count++
 		}
 	}
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -95,9 +95,9 @@
 	case order.Kind == lentilproxy.Unload && (entry.phase == ready || entry.phase == retiring):
 		entry.phase, entry.orderAt = unloading, now
 	case order.Kind == lentilproxy.Load && entry.phase == requested:
-		entry.phase, entry.orderAt = loading, now
+		entry.phase, entry.orderAt, entry.loadOrderedAt, entry.loadTime = loading, now, now, 0
 	case order.Kind == lentilproxy.Load && entry.phase == ready && !entry.replacing:
-		entry.replacing, entry.orderAt = true, now
+		entry.replacing, entry.orderAt, entry.loadOrderedAt, entry.loadTime = true, now, now, 0
 	default:
 		controller.repeatedOrder = true
 	}
@@ -164,6 +164,9 @@
 		return
 	}
 	entry := controller.entryOf(now, order.Ref.Adapter)
+	if entry.isLoading() && !entry.loadOrderedAt.IsZero() {
+		entry.loadTime = now.Sub(entry.loadOrderedAt)
+	}
 	if entry.phase != ready {
 		entry.readyAt = now
 	}
--- a/core/slots/request.go
+++ b/core/slots/request.go
@@ -82,3 +82,17 @@
 		return LoadPending
 	}
 }
+
+// LoadTime returns the time from the order to the end of an adapter's last load, or until now if it is still in progress; 0 if this
+// controller has not ordered it, or has not seen its end.
+func (controller *Controller) LoadTime(now time.Time, adapter string) time.Duration {
+	entry := controller.entries[adapter]
+	switch {
+	case entry == nil || entry.loadOrderedAt.IsZero():
+		return 0
+	case entry.isLoading():
+		return now.Sub(entry.loadOrderedAt)
+	default:
+		return entry.loadTime
+	}
+}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -84,6 +84,10 @@
 	lastUse     time.Time
 	reportedUse time.Time
 	readyAt     time.Time
+	// loadOrderedAt is when the load in progress, or the last one, was ordered; zero if it was not ordered by this controller. loadTime is
+	// the time from the order to the end of the last load, or zero if that was not seen.
+	loadOrderedAt time.Time
+	loadTime      time.Duration
 	// dueAt is the latest time at which one of the requests that wait for the adapter should have its first event.
 	dueAt time.Time
 	// demand is a count of requests that decays over demandDecayTime, as of demandAt.
@@ -99,6 +103,9 @@
 	return entry.demand * math.Exp(-now.Sub(entry.demandAt).Seconds()/demandDecayTime.Seconds())
 }
 
+// isLoading reports whether the server is loading the adapter or a newer version of it.
+func (entry *adapterEntry) isLoading() bool { return entry.phase == loading || entry.replacing }
+
 func (entry *adapterEntry) use(now time.Time, count float64) {
 	entry.demand = entry.demandNow(now) + count
 	entry.demandAt = now
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -44,6 +44,9 @@
 type loadResult struct {
 	Outcome LoadOutcome `json:"outcome"`
 	Version int64       `json:"version,omitempty"`
+	// LoadMS is the time from the holder's order to the end of the load, or until now if the load has not ended. It is missing if the
+	// adapter was loaded already or the load has not begun, and in results of hosts of the previous version.
+	LoadMS int64 `json:"load_ms,omitempty"`
 }
 
 // loadKey identifies a load request. All requests of a host with the same key share it.
@@ -88,6 +91,7 @@
 		DueMS: max(0, due.Milliseconds()),
 	}
 	result := coordinator.callHolder(params)
+	coordinator.traffic.recordLoad(clock.Now(), server, adapter, result)
 	if result.Outcome == LoadReady {
 		coordinator.traffic.addAdapter(server, adapter, result.Version)
 	}
@@ -155,7 +159,7 @@
 		}
 		remaining := deadline.Sub(clock.Now())
 		if remaining <= 0 {
-			return loadResult{Outcome: LoadTimeout}
+			return loadResult{Outcome: LoadTimeout, LoadMS: result.LoadMS}
 		}
 		timer := time.NewTimer(remaining)
 		select {
@@ -191,12 +195,16 @@
 	} else {
 		state = controller.slots.State(now, params.Adapter)
 	}
+	var took time.Duration
+	if !first {
+		took = controller.slots.LoadTime(now, params.Adapter)
+	}
 	switch state {
 	case slots.LoadReady:
-		return loadResult{Outcome: LoadReady, Version: controller.slots.Ready()[params.Adapter]}, nil
+		return loadResult{Outcome: LoadReady, Version: controller.slots.Ready()[params.Adapter], LoadMS: took.Milliseconds()}, nil
 	case slots.LoadRejected:
 		return loadResult{Outcome: LoadRejected}, nil
 	default:
-		return loadResult{}, controller.changed
+		return loadResult{LoadMS: took.Milliseconds()}, controller.changed
 	}
 }
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -16,6 +16,8 @@
 	"lentilproxy/core/warm"
 	"lentilproxy/io/clock"
 	"lentilproxy/io/loans"
+
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -248,6 +250,23 @@
 	delete(traffic.loads, key)
 }
 
+// recordLoad records how long a load took, if its holder has reported that.
+func (traffic *Traffic) recordLoad(now time.Time, server spec.Server, adapter string, result loadResult) {
+	if !traffic.LearnsCost() || result.LoadMS <= 0 {
+		return
+	}
+	load := sched.ObservedLoad{
+		Adapter: adapter, Version: result.Version, Duration: time.Duration(result.LoadMS) * time.Millisecond, Ended: result.Outcome == LoadReady,
+	}
+	traffic.mutex.Lock()
+	kind := traffic.scheduler.RecordLoad(now, server.ID, server.StartedMillis, load)
+	traffic.mutex.Unlock()
+	if load.Ended {
+		buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+		traffic.coordinator.metrics.Tagged(map[string]string{"from": string(kind)}).Histogram("adapter_load_time", buckets).RecordDuration(load.Duration)
+	}
+}
+
 // addAdapter records that a server has loaded an adapter, before the next gossip message of its holder reports it.
 func (traffic *Traffic) addAdapter(server spec.Server, adapter string, version int64) {
 	traffic.mutex.Lock()
