--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -357,3 +357,38 @@
 	controller.ApplyOutcome(now, order, lentilproxy.OrderSatisfied)
 	is.True(controller.HasModel())
 }
+
+// Guards against load times that contain the wait for other loads, or that are reported for loads that this controller has not ordered or
+// whose end it has not seen.
+func TestLoadTimes(t *testing.T) {
+	is := is.New(t)
+	now, controller, engine := loaded("a", "b")
+	took := controller.LoadTime(now, "a")
+	is.True(took >= 250*time.Millisecond && took < 350*time.Millisecond)
+	is.Equal(controller.LoadTime(now.Add(time.Minute), "a"), took)
+
+	now = serve(now, time.Second, controller, engine)
+	controller.SetRunning(now, "host", map[string]int{"a": 1, "b": 1})
+	controller.Request(now, "c", 1)
+	is.Equal(controller.LoadTime(now, "c"), time.Duration(0))
+	controller.SetRunning(now, "host", nil)
+	controller.Request(now, "c", 1)
+	now = serve(now, 100*time.Millisecond, controller, engine)
+	is.True(controller.LoadTime(now, "c") > 50*time.Millisecond && controller.LoadTime(now, "c") <= 100*time.Millisecond) // In progress.
+
+	// Another lease holder finds the load in progress, and a third one the end of a load that it has ordered in a report.
+	other := New("m", 2, now)
+	other.ApplyReport(now, engine.report(now))
+	serve(now, time.Second, other, engine)
+	is.Equal(other.State(now, "c"), LoadReady)
+	is.Equal(other.LoadTime(now, "c"), time.Duration(0))
+	third := New("m", 3, now)
+	third.ApplyReport(now, spec.Report{Models: []spec.LoadedModel{{Model: "m"}}})
+	third.Request(now, "c", 1)
+	order, _ := third.NextOrder(now, false)
+	third.MarkSent(now, order)
+	third.MarkOutcomeUnknown(now)
+	third.ApplyReport(now.Add(time.Second), engine.report(now.Add(time.Second)))
+	is.Equal(third.State(now, "c"), LoadReady)
+	is.Equal(third.LoadTime(now, "c"), time.Duration(0))
+}
