--- a/io/shell/client.go
+++ b/io/shell/client.go
@@ -27,6 +27,11 @@
 		return fail(ExitUsage, "%v", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	return globals.send(request, result)
+}
+
+// send sends a request and decodes the response into result.
+func (globals *globals) send(request *http.Request, result any) error {
 	client := &http.Client{Timeout: callTimeout}
 	response, err := client.Do(request)
 	if err != nil {
--- a/io/shell/explain.go
+++ b/io/shell/explain.go
@@ -10,9 +10,11 @@
 )
 
 type explainCommand struct {
-	Workspace string `short:"w" long:"workspace" value-name:"NAME" description:"workspace of the caller; none for a caller without a key"`
-	Method    string `short:"X" long:"method" default:"POST" description:"method of the request"`
-	Data      string `short:"d" long:"data" value-name:"BODY" description:"body of the request; it counts for the choice"`
+	Workspace string   `short:"w" long:"workspace" value-name:"NAME" description:"workspace of the caller; none for a caller without a key"`
+	Method    string   `short:"X" long:"method" default:"POST" description:"method of the request"`
+	Data      string   `short:"d" long:"data" value-name:"BODY" description:"body of the request; it counts for the choice"`
+	Host      string   `long:"host" value-name:"NAME" description:"callers' host name on the operators' platform; the address is then a daemon's metrics address"`
+	Headers   []string `short:"H" long:"header" value-name:"NAME: VALUE" description:"header of the request; with --host only"`
 	Args      struct {
 		Path string `positional-arg-name:"PATH" required:"true"`
 	} `positional-args:"true"`
@@ -22,6 +24,9 @@
 
 // Execute implements flags.Commander.
 func (command *explainCommand) Execute([]string) error {
+	if command.Host != "" {
+		return command.explainHosted()
+	}
 	var explanation gate.Explanation
 	question := gate.Question{Method: command.Method, Path: command.Args.Path, Body: command.Data, Workspace: command.Workspace}
 	if err := command.globals.call(http.MethodPost, "/v1/explain", question, &explanation); err != nil {
