New lease holders know the copies that servers have kept

A lease holder learned of a server's copies only from its own unloads. After a lease had moved, it ordered loads of copies after others, counted them as loads from the weight store and noticed their end only after 240 ms instead of 25 ms, so that hosts learned that copies are gone.

With learned costs, the host that gets the lease starts with what it remembers of the server's unloads. TestCopiesOutlastTheLease.

--- a/core/sched/load.go
+++ b/core/sched/load.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"lentilproxy/core/cost"
@@ -88,6 +91,17 @@
 	}
 }
 
+// Copies returns the adapters of which an incarnation of a server is expected to have a copy, in the order of their unloads.
+func (scheduler *Scheduler) Copies(server spec.Incarnation) []string {
+	state := scheduler.servers[server.ID]
+	if state == nil || state.startedMillis != server.StartedMillis {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(state.copies.entries), func(left, right string) int {
+		return cmp.Compare(state.copies.entries[left].unload, state.copies.entries[right].unload)
+	})
+}
+
 // ObservedLoad is a load that a lease holder has reported.
 type ObservedLoad struct {
 	Adapter string
@@ -100,9 +114,9 @@
 
 // RecordLoad records how long a server took to load an adapter, and returns the kind of load that was expected. It must be called before
 // AddAdapter. A load that has not ended counts if it has already taken longer than expected.
-func (scheduler *Scheduler) RecordLoad(now time.Time, name string, startedMillis int64, load ObservedLoad) cost.LoadKind {
-	state, kind := scheduler.servers[name], cost.StoreLoad
-	if scheduler.loads == nil || state == nil || state.startedMillis != startedMillis {
+func (scheduler *Scheduler) RecordLoad(now time.Time, server spec.Incarnation, load ObservedLoad) cost.LoadKind {
+	state, kind := scheduler.servers[server.ID], cost.StoreLoad
+	if scheduler.loads == nil || state == nil || state.startedMillis != server.StartedMillis {
 		return kind
 	}
 	if state.copies.has(load.Adapter, load.Version) {
--- a/core/sched/load_test.go
+++ b/core/sched/load_test.go
@@ -168,7 +168,7 @@
 		engine := fleet.engines[request.server]
 		state := engine.controller.State(fleet.now, adapter)
 		if duration := engine.controller.LoadTime(fleet.now, adapter); state == loads.LoadReady && duration > 0 {
-			fleet.scheduler.RecordLoad(fleet.now, request.server, 0, ObservedLoad{Adapter: adapter, Duration: duration, Ended: true})
+			fleet.scheduler.RecordLoad(fleet.now, spec.Incarnation{ID: request.server}, ObservedLoad{Adapter: adapter, Duration: duration, Ended: true})
 		}
 		switch {
 		case state == loads.LoadReady && !request.replica:
@@ -316,7 +316,7 @@
 				scheduler, all := copyFleet(3, copied)
 				for range 20 {
 					if test.gone {
-						scheduler.RecordLoad(start, copied, 0, ObservedLoad{Adapter: "a", Version: 1, Duration: storeTime, Ended: true})
+						scheduler.RecordLoad(start, spec.Incarnation{ID: copied}, ObservedLoad{Adapter: "a", Version: 1, Duration: storeTime, Ended: true})
 					}
 				}
 				for range test.running {
@@ -357,6 +357,10 @@
 	report("m", map[string]int64{"b": 1})
 	is.True(!copied("a", 2) && copied("0", 1))
 	is.Equal(len(scheduler.servers["s"].copies.entries), maxCopies)
+	expected := scheduler.Copies(spec.Incarnation{ID: "s"})
+	is.Equal(expected[0], "0")
+	is.Equal(expected[maxCopies-1], fmt.Sprint(maxCopies-1))
+	is.Equal(len(scheduler.Copies(spec.Incarnation{ID: "s", StartedMillis: 1})), 0)
 	scheduler.RemoveAdapter("s", "b")
 	is.True(copied("b", 1))
 	report("other", nil)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -177,6 +177,13 @@
 // SetVersions sets the newest announced versions of the model's adapters.
 func (controller *Controller) SetVersions(versions map[string]int64) { controller.versions = versions }
 
+// SetRecentlyUnloaded sets the adapters that the server has unloaded under the previous lease holder, in the order of the unloads.
+func (controller *Controller) SetRecentlyUnloaded(now time.Time, adapters []string) {
+	for index, adapter := range adapters[max(0, len(adapters)-maxRecentlyUnloaded):] {
+		controller.recentlyUnloaded[adapter] = now.Add(time.Duration(index - maxRecentlyUnloaded))
+	}
+}
+
 func (controller *Controller) entryOf(now time.Time, adapter string) *adapterEntry {
 	entry := controller.entries[adapter]
 	if entry == nil {
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -392,3 +392,29 @@
 	is.Equal(third.State(now, "c"), LoadReady)
 	is.Equal(third.LoadTime(now, "c"), time.Duration(0))
 }
+
+// Guards against a new lease holder that does not know of the copies of recently unloaded adapters: it would load them after others, and
+// notice the end of a load of 25 ms only after 240 ms.
+func TestCopiesOutlastTheLease(t *testing.T) {
+	is := is.New(t)
+	_, controller, _ := loaded()
+	names := []string{"first"}
+	for number := range maxRecentlyUnloaded - 1 {
+		names = append(names, fmt.Sprint("copy", number))
+	}
+	controller.SetRecentlyUnloaded(start, append([]string{"too old"}, names...))
+	is.Equal(len(controller.recentlyUnloaded), maxRecentlyUnloaded)
+	controller.Request(start, "other", 9)
+	controller.Request(start, "copy7", 1)
+	order, _ := controller.NextOrder(start, false)
+	is.Equal(order.Ref.Adapter, "copy7")
+	controller.MarkSent(start, order)
+	controller.ApplyOutcome(start, order, lentilproxy.OrderAccepted)
+	poll, _ := controller.nextPoll(start.Add(pollFast))
+	is.Equal(poll.Ref.Adapter, "copy7")
+
+	controller.removeUnloaded(start, "new")
+	_, first := controller.recentlyUnloaded["first"]
+	_, last := controller.recentlyUnloaded["copy98"]
+	is.True(!first && last)
+}
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -116,6 +116,7 @@
 		server: server, slots: slots.New(model, engine.AdapterCapacityFor(model), now), wake: make(chan struct{}, 1),
 		changed: make(chan struct{}), cancel: cancel,
 	}
+	started.slots.SetRecentlyUnloaded(now, control.coordinator.traffic.copies(server.Incarnation()))
 	control.controllers[server.ID] = started
 	control.coordinator.spawn(func() { control.runController(ctx, started) })
 	return started
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -250,6 +250,13 @@
 	delete(traffic.loads, key)
 }
 
+// copies returns the adapters of which a server is expected to have a copy, in the order of their unloads; none without learned costs.
+func (traffic *Traffic) copies(server spec.Incarnation) []string {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.scheduler.Copies(server)
+}
+
 // recordLoad records how long a load took, if its holder has reported that.
 func (traffic *Traffic) recordLoad(now time.Time, server spec.Server, adapter string, result loadResult) {
 	if !traffic.LearnsCost() || result.LoadMS <= 0 {
@@ -259,7 +266,7 @@
 		Adapter: adapter, Version: result.Version, Duration: time.Duration(result.LoadMS) * time.Millisecond, Ended: result.Outcome == LoadReady,
 	}
 	traffic.mutex.Lock()
-	kind := traffic.scheduler.RecordLoad(now, server.ID, server.StartedMillis, load)
+	kind := traffic.scheduler.RecordLoad(now, server.Incarnation(), load)
 	traffic.mutex.Unlock()
 	if load.Ended {
 		buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
