--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -76,11 +78,11 @@
 	}
 	best := loaded[leastLatency(loaded)]
 	choice := choiceOf(best)
-	if job.Ref.Adapter == "" {
+	if job.Ref.Adapter == "" || (!best.ejected && best.expected < replicateAbove) {
 		return choice, true
 	}
 	other, found := preferredForLoad(candidates, best.expected/2, job.Full)
-	if !found || (!best.ejected && best.expected < replicateAbove) {
+	if !found {
 		return choice, true
 	}
 	if best.ejected || best.expected > other.withLoad() {
@@ -213,30 +215,34 @@
 // again for adapters that it had loaded recently. Servers that are expected to have a copy of the adapter come before all others, unless
 // the least busy of them is busier by more than the copy saves.
 func preferredForLoad(candidates []candidate, below time.Duration, full value.Set[string]) (candidate, bool) {
-	usable := func(option candidate) bool {
-		return !full.Has(option.server.ID) && option.state.loaded.Orderable && !option.loaded && !option.ejected && option.expected < below
-	}
-	var leastBusy, leastBusyCopy *candidate
-	for index := range candidates {
-		option := &candidates[index]
-		least := &leastBusy
-		if option.copy {
-			least = &leastBusyCopy
-		}
-		if usable(*option) && (*least == nil || option.expected < (*least).expected) {
-			*least = option
+	var usable, usableCopies []candidate
+	for _, option := range candidates {
+		switch {
+		case full.Has(option.server.ID) || !option.state.loaded.Orderable || option.loaded || option.ejected || option.expected >= below:
+		case option.copy:
+			usableCopies = append(usableCopies, option)
+		default:
+			usable = append(usable, option)
 		}
 	}
-	if leastBusy == nil || (leastBusyCopy != nil && leastBusyCopy.withLoad() <= leastBusy.withLoad()) {
-		leastBusy = leastBusyCopy
+	preferred, found := firstNotBusy(usable)
+	preferredCopy, foundCopy := firstNotBusy(usableCopies)
+	if foundCopy && (!found || leastBusy(usableCopies).withLoad() <= leastBusy(usable).withLoad()) {
+		return preferredCopy, true
 	}
-	if leastBusy == nil {
+	return preferred, found
+}
+
+// firstNotBusy returns the first candidate that is not much busier than the least busy one.
+func firstNotBusy(candidates []candidate) (candidate, bool) {
+	if len(candidates) == 0 {
 		return candidate{}, false
 	}
-	for _, option := range candidates {
-		if usable(option) && option.copy == leastBusy.copy && option.expected <= leastBusy.expected+preferredSlack {
-			return option, true
-		}
-	}
-	return candidate{}, false
+	least := leastBusy(candidates).expected
+	index := slices.IndexFunc(candidates, func(option candidate) bool { return option.expected <= least+preferredSlack })
+	return candidates[index], true
+}
+
+func leastBusy(candidates []candidate) candidate {
+	return slices.MinFunc(candidates, func(left, right candidate) int { return cmp.Compare(left.expected, right.expected) })
 }
--- a/core/sched/load_test.go
+++ b/core/sched/load_test.go
@@ -49,7 +49,6 @@
 // simulatedEngine is a server with its lease holder. copies is in the order of the unloads.
 type simulatedEngine struct {
 	controller *loads.Controller
-	sequence   int64
 	loaded     map[string]bool
 	loading    map[string]time.Time
 	fromStore  map[string]bool
