--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -50,6 +50,9 @@
 	loaded   bool
 	// rank is the hash of the adapter and the server. Candidates are sorted by it (rendezvous hashing).
 	rank uint64
+	// load is the expected time to load the adapter, and copy whether the server is expected to have a copy of it.
+	load time.Duration
+	copy bool
 	// work is the remaining work by slot, and own that of the request itself; 0 if the cost of requests is not known.
 	work, own time.Duration
 }
@@ -69,30 +72,27 @@
 		if !found {
 			return Choice{}, false
 		}
-		choice := choiceOf(preferred)
-		choice.Load, choice.Expected = true, choice.Expected+loadLatency
-		return choice, true
+		return choiceWithLoad(preferred), true
 	}
 	best := loaded[leastLatency(loaded)]
 	choice := choiceOf(best)
-	if job.Ref.Adapter == "" {
+	if job.Ref.Adapter == "" || (!best.ejected && best.expected < replicateAbove) {
 		return choice, true
 	}
 	other, found := preferredForLoad(candidates, best.expected/2, job.Full)
-	if !found || (!best.ejected && best.expected < replicateAbove) {
+	if !found {
 		return choice, true
 	}
-	if best.ejected || best.expected > other.expected+2*loadLatency {
+	if best.ejected || best.expected > other.withLoad() {
 		// The best server is ejected, or its queue takes longer than loading the adapter on the other server.
-		choice = choiceOf(other)
-		choice.Load, choice.Expected = true, choice.Expected+loadLatency
-		return choice, true
+		return choiceWithLoad(other), true
 	}
-	if now.Sub(scheduler.replicated[job.Ref]) >= replicateInterval {
+	if scheduler.replicaPays(now, job.Ref, best, other) && now.Sub(scheduler.replicated[job.Ref]) >= replicateInterval {
 		if len(scheduler.replicated) >= maxReplicatedEntries {
 			clear(scheduler.replicated)
 		}
 		scheduler.replicated[job.Ref] = now
+		delete(scheduler.saved, job.Ref)
 		choice.ReplicateTo = other.server.ID
 	}
 	return choice, true
@@ -120,6 +120,9 @@
 		if job.Ref.Adapter == "" {
 			option.loaded = true
 		}
+		if service.Engine != nil && !option.loaded {
+			scheduler.expectLoad(now, &option, job)
+		}
 		option.expected = scheduler.expected(now, service, server, state, job)
 		candidates = append(candidates, option)
 	}
@@ -205,21 +208,24 @@
 	return loaded
 }
 
-// preferredForLoad returns the first server in an adapter's rank order that can load it, has an expected latency below
-// a bound, and is not much busier than the least busy such server. The rank order is stable, so that a server is chosen
-// again for adapters that it had loaded recently.
+// preferredForLoad returns the server that loads an adapter: the first one in the adapter's rank order that can load it, has an expected
+// latency below a bound, and costs not much more than the best such server. The rank order is stable, so that a server is chosen again
+// for adapters that it had loaded recently. If the best server is expected to have a copy of the adapter, only servers that have one count.
 func preferredForLoad(candidates []candidate, below time.Duration, full value.Set[string]) (candidate, bool) {
-	lowest := time.Duration(math.MaxInt64)
-	usable := func(option candidate) bool {
-		return !full.Has(option.server.ID) && option.state.loaded.Orderable && !option.loaded && !option.ejected && option.expected < below
-	}
+	var usable []candidate
+	best := 0
 	for _, option := range candidates {
-		if usable(option) {
-			lowest = min(lowest, option.expected)
+		if full.Has(option.server.ID) || !option.state.loaded.Orderable || option.loaded || option.ejected || option.expected >= below {
+			continue
+		}
+		usable = append(usable, option)
+		difference := option.withLoad() - usable[best].withLoad()
+		if difference < 0 || (difference == 0 && option.copy && !usable[best].copy) {
+			best = len(usable) - 1
 		}
 	}
-	for _, option := range candidates {
-		if usable(option) && option.expected <= lowest+preferredSlack {
+	for _, option := range usable {
+		if option.withLoad() <= usable[best].withLoad()+preferredSlack && (option.copy || !usable[best].copy) {
 			return option, true
 		}
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -85,6 +85,10 @@
 	lastUse     time.Time
 	reportedUse time.Time
 	readyAt     time.Time
+	// loadOrderedAt is when the load in progress, or the last one, was ordered; zero if it was not ordered by this controller. loadTime is
+	// the time from the order to the end of the last load, or zero if that was not seen.
+	loadOrderedAt time.Time
+	loadTime      time.Duration
 	// dueAt is the latest time at which one of the requests that wait for the adapter should have its first event.
 	dueAt time.Time
 	// demand is a count of requests that decays over demandDecayTime, as of demandAt.
@@ -100,6 +104,9 @@
 	return entry.demand * math.Exp(-now.Sub(entry.demandAt).Seconds()/demandDecayTime.Seconds())
 }
 
+// isLoading reports whether the server is loading the adapter or a newer version of it.
+func (entry *adapterEntry) isLoading() bool { return entry.phase == loading || entry.replacing }
+
 func (entry *adapterEntry) use(now time.Time, count float64) {
 	entry.demand = entry.demandNow(now) + count
 	entry.demandAt = now
@@ -173,6 +180,13 @@
 // SetVersions sets the newest announced versions of the model's adapters.
 func (controller *Controller) SetVersions(versions map[string]int64) { controller.versions = versions }
 
+// SetRecentlyUnloaded sets the adapters that the server has unloaded under the previous lease holder, in the order of the unloads.
+func (controller *Controller) SetRecentlyUnloaded(now time.Time, adapters []string) {
+	for index, adapter := range adapters[max(0, len(adapters)-maxRecentlyUnloaded):] {
+		controller.recentlyUnloaded[adapter] = now.Add(time.Duration(index - maxRecentlyUnloaded))
+	}
+}
+
 func (controller *Controller) entryOf(now time.Time, adapter string) *adapterEntry {
 	entry := controller.entries[adapter]
 	if entry == nil {
