Order of waiting requests in a module of its own

Cause: the loads of adapters and the prompts are to wait in the same order as the requests of plain services, which only core/admit knows. Change: shares of workspaces, the order and the returns of refused callers move from core/admit to core/order. core/admit behaves as before. Measured: the tests of core/admit pass; 'go test ./core/admit -run Bursts -v' prints the same figures before and after. A test set a field that has moved; it calls Returns.Expect with the same values.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"lentilproxy/core/order"
 	"lentilproxy/core/value"
 )
 
@@ -17,10 +18,8 @@
 	initialWork = 50 * time.Millisecond
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 4096
-	// maxClasses, maxWorkspaces and maxRefusals bound what is remembered about classes of requests, workspaces and refusals.
-	maxClasses    = 256
-	maxWorkspaces = 4096
-	maxRefusals   = 8192
+	// maxClasses bounds what is remembered about classes of requests.
+	maxClasses = 256
 	// expiryGrace is how long after its request's deadline an assignment still counts if its host has not ended it.
 	expiryGrace = 250 * time.Millisecond
 	// UsageLifetime is how long a host's report of requests that this queue has not assigned counts.
@@ -28,18 +27,7 @@
 	// overloadAfter is how long requests that can be in time have to wait without a break before late ones are refused. A shorter
 	// burst leaves slots to the late ones before their deadline.
 	overloadAfter = 500 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should return.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
-	// returnFraction is the fraction of the service rate at which refused callers are asked to return. The rest is for newcomers.
-	returnFraction = 0.5
-	// returnSlack is how much earlier than asked a refused caller may return, and returnLifetime how much later, to be preferred to
-	// newcomers.
-	returnSlack    = 10 * time.Millisecond
-	returnLifetime = 10 * time.Second
-	// returnBoost is the fraction of its objective by which a request that came back is due earlier than a newcomer, and
-	// returnAhead the fraction of the requests ahead of it that count for its refusal.
-	returnBoost = 0.5
+	// returnAhead is the fraction of the requests ahead of a request that came back that count for its refusal.
 	returnAhead = 0.5
 )
 
@@ -115,7 +103,7 @@
 	// key is the time by which requests of the same class are ordered.
 	key       time.Time
 	ahead     int
-	workspace *workspace
+	workspace *order.Share
 	class     *estimate
 }
 
@@ -137,36 +125,26 @@
 	ordered     []*server
 	assignments map[Ticket]*assignment
 	waiting     []*waiting
-	// candidates is reused by pick.
+	// candidates and entries are reused by pick.
 	candidates []candidate
+	entries    []order.Entry
 	// work is the usual duration of a request, and classes that of each class.
-	work       estimate
-	classes    *value.Recent[string, *estimate]
-	workspaces *value.Recent[workspaceKey, *workspace]
+	work    estimate
+	classes *value.Recent[string, *estimate]
 	// errorRate is the usual share of responses that are errors.
 	errorRate float64
-	// virtualTime is the virtual time of the workspace that was served last.
-	virtualTime float64
-	// turns counts the assignments of waiting requests.
-	turns int
-	// refusals maps refused requests to the time at which they should return, and nextReturn is when the next one should.
-	refusals   *value.Recent[refusalKey, time.Time]
-	nextReturn time.Time
+	// order is the order of the waiting requests, and returns knows the refused ones.
+	order   *order.Order
+	returns *order.Returns
 	// timelySince is since when requests that can be in time have waited without a break; zero if none waits.
 	timelySince time.Time
 }
 
-type refusalKey struct {
-	workspace string
-	digest    string
-}
-
 // New returns a queue without servers.
 func New(now time.Time) *Queue {
 	return &Queue{
 		startedAt: now, servers: map[string]*server{}, assignments: map[Ticket]*assignment{}, work: estimate{mean: initialWork},
-		classes: value.NewRecent[string, *estimate](maxClasses), workspaces: value.NewRecent[workspaceKey, *workspace](maxWorkspaces),
-		refusals: value.NewRecent[refusalKey, time.Time](maxRefusals),
+		classes: value.NewRecent[string, *estimate](maxClasses), order: order.New(now, fairSlack), returns: order.NewReturns(),
 	}
 }
 
@@ -194,13 +172,14 @@
 // Add adds a request to the waiting ones. It returns a refusal if no slot is expected to be free in time. Otherwise the request
 // waits until a result of Next contains it, which may be at once.
 func (queue *Queue) Add(now time.Time, request Request) (refusal Decision, refused bool) {
-	added := &waiting{request: request, arrivedAt: now, key: request.Due, workspace: queue.arrive(now, request), class: queue.classOf(request.Class)}
+	share := queue.order.Arrive(now, request.Workspace, request.Priority, 1)
+	added := &waiting{request: request, arrivedAt: now, key: request.Due, workspace: share, class: queue.classOf(request.Class)}
 	if !queue.hasServerFor(request) {
 		return Decision{Ticket: request.Ticket, Reason: ReasonNoServer}, true
 	}
-	returning := queue.takeReturn(now, request)
+	returning := queue.returns.Take(now, request.Workspace, request.Digest)
 	if returning {
-		added.key = request.Due.Add(-time.Duration(returnBoost * float64(request.Due.Sub(now))))
+		added.key = order.Boosted(now, request.Due)
 	}
 	queue.expire(now)
 	added.ahead = queue.aheadOf(now, added)
@@ -222,34 +201,11 @@
 	return Decision{}, false
 }
 
-// takeReturn reports whether a request was refused before and has come back when it should.
-func (queue *Queue) takeReturn(now time.Time, request Request) bool {
-	if request.Digest == "" {
-		return false
-	}
-	key := refusalKey{workspace: request.Workspace, digest: request.Digest}
-	at, found := queue.refusals.Get(key)
-	if !found || at.IsZero() || now.Before(at.Add(-returnSlack)) || now.After(at.Add(returnLifetime)) {
-		return false
-	}
-	queue.refusals.Put(key, time.Time{})
-	return true
-}
-
 // refuse returns the refusal of a request. Refused callers are asked to return one after the other.
 func (queue *Queue) refuse(now time.Time, refused *waiting, reason Reason) Decision {
 	room := max(0, refused.request.Deadline.Sub(now)-refused.class.mean)
-	wait := min(max(queue.expectedWait(now, refused.ahead)-room, minRetryAfter), maxRetryAfter)
-	at := now.Add(wait)
-	if queue.nextReturn.After(at) && queue.nextReturn.Sub(now) <= maxRetryAfter {
-		at = queue.nextReturn
-	}
-	if rate := queue.rate(now); rate > 0 {
-		queue.nextReturn = at.Add(time.Duration(float64(time.Second) / (returnFraction * rate)))
-	}
-	if refused.request.Digest != "" {
-		queue.refusals.Put(refusalKey{workspace: refused.request.Workspace, digest: refused.request.Digest}, at)
-	}
+	wait := queue.expectedWait(now, refused.ahead) - room
+	at := queue.returns.Refuse(now, refused.request.Workspace, refused.request.Digest, wait, queue.rate(now))
 	return Decision{
 		Ticket: refused.request.Ticket, Reason: reason, RetryAfter: at.Sub(now), Ahead: refused.ahead, Waited: now.Sub(refused.arrivedAt),
 		StateAge: queue.stateAge(now),
@@ -369,7 +325,7 @@
 	}
 	queue.assignments[request.Ticket] = added
 	server.assigned = append(server.assigned, added)
-	queue.serve(picked.workspace)
+	queue.order.Serve(picked.workspace, 1)
 }
 
 // expire drops the assignments and reports that no longer count.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -187,7 +187,7 @@
 	_, refused = add("returning")
 	is.True(refused) // It has come back at once, which gains nothing.
 	now = now.Add(first.RetryAfter)
-	queue.refusals.Put(refusalKey{digest: "returning"}, now)
+	queue.returns.Expect("", "returning", now)
 	for id := lastID; id > 0; id-- { // The first half of those that wait has been served.
 		if ticket := (Ticket{Host: "h", ID: id}); len(queue.waiting) > 20 {
 			queue.End(now, ticket, OutcomeUnused)
--- a/core/admit/server.go
+++ b/core/admit/server.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"lentilproxy/core/order"
 	"lentilproxy/core/value"
 )
 
@@ -191,7 +192,7 @@
 	if rate := queue.rate(now); rate > 0 {
 		return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 	}
-	earliest := maxRetryAfter
+	earliest := order.MaxRetryAfter
 	for _, server := range queue.servers {
 		if server.open {
 			earliest = min(earliest, server.pausedUntil.Sub(now))
