Loads wait in the order of their requests

Cause: a lease holder ordered loads by recent copy, in-time requests and demand. It knew neither priorities nor workspaces, and a request waited for a load that could no longer end before its deadline. Change: with grants, the requests that wait for an adapter are known one by one. Loads follow core/order: in time, priority, equal shares of workspaces, due time, one of 16 to the longest-waiting request. A request is refused on arrival if its load is expected after its deadline (loads ahead, learned load time), when too little time is left for a load, or when it is late while timely ones wait without a break. Without grants nothing changes.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lentilproxy/core/value"
@@ -23,8 +24,8 @@
 	maxWorkspaces = 4096
 )
 
-// Share is the state of the requests of one workspace with one priority. Workspaces share the resource in proportion to their usual loads
-// while requests wait.
+// Share is the state of the requests of one workspace with one priority. Workspaces share the resource in proportion to their usual loads,
+// or equally, while requests wait.
 type Share struct {
 	// arrivals counts arrivals with exponential decay, as of updated.
 	arrivals float64
@@ -48,12 +49,23 @@
 	// virtualTime is the virtual time of the share that was served last.
 	virtualTime float64
 	turns       int
+	equal       bool
 }
 
+// Option configures an order.
+type Option func(*Order)
+
+// WithEqualShares lets all workspaces have the same share, whatever their usual load.
+func WithEqualShares() Option { return func(order *Order) { order.equal = true } }
+
 // New returns the order of a resource. Slack is the amount by which a workspace may be ahead of its share before requests of others with
 // later due times are served first.
-func New(now time.Time, slack float64) *Order {
-	return &Order{startedAt: now, slack: slack, shares: value.NewRecent[shareKey, *Share](maxWorkspaces)}
+func New(now time.Time, slack float64, options ...Option) *Order {
+	order := &Order{startedAt: now, slack: slack, shares: value.NewRecent[shareKey, *Share](maxWorkspaces)}
+	for _, option := range options {
+		option(order)
+	}
+	return order
 }
 
 // Arrive counts the arrival of a request that needs an amount of the resource, and returns the share of its workspace.
@@ -69,6 +81,9 @@
 	// An order that has just started has seen only a part of the usual time.
 	seen := 1 - math.Exp(-max(time.Second, now.Sub(order.startedAt)).Seconds()/usualTime.Seconds())
 	known.weight = max(minUsualRate, known.arrivals/(usualTime.Seconds()*seen))
+	if order.equal {
+		known.weight = 1
+	}
 	known.virtualTime = max(known.virtualTime, order.virtualTime)
 	return known
 }
@@ -94,12 +109,15 @@
 
 // Next returns the index of the entry that is served next; there must be one. It changes nothing.
 func (order *Order) Next(entries []Entry) int {
-	if len(entries) > 1 && (order.turns+1)%oldestInterval == 0 {
+	if order.TurnOfOldest() {
 		return oldest(entries)
 	}
 	return order.First(entries)
 }
 
+// TurnOfOldest reports whether the next turn goes to the request that has waited longest.
+func (order *Order) TurnOfOldest() bool { return (order.turns+1)%oldestInterval == 0 }
+
 func oldest(entries []Entry) int {
 	best := 0
 	for index, other := range entries {
@@ -116,6 +134,10 @@
 
 // First returns the index of the entry that comes first, regardless of how long it has waited; there must be one.
 func (order *Order) First(entries []Entry) int {
+	return order.first(entries, func(share *Share) float64 { return share.virtualTime })
+}
+
+func (order *Order) first(entries []Entry, virtualTime func(*Share) float64) int {
 	best := entries[0]
 	least := math.Inf(1)
 	for _, other := range entries {
@@ -125,12 +147,12 @@
 	}
 	for _, other := range entries {
 		if sameRank(other, best) {
-			least = min(least, other.Share.virtualTime)
+			least = min(least, virtualTime(other.Share))
 		}
 	}
 	first, found := 0, false
 	for index, other := range entries {
-		if !sameRank(other, best) || (other.Share.virtualTime-least)*other.Share.weight > order.slack {
+		if !sameRank(other, best) || (virtualTime(other.Share)-least)*other.Share.weight > order.slack {
 			continue
 		}
 		if !found || other.Due.Before(entries[first].Due) {
@@ -140,6 +162,25 @@
 	return first
 }
 
+// Sequence returns the indices of the entries in the order in which they are served if no others arrive and each needs an amount of 1,
+// without the turns of the longest-waiting ones. It changes nothing.
+func (order *Order) Sequence(entries []Entry) []int {
+	served := map[*Share]float64{}
+	rest := slices.Clone(entries)
+	indices := make([]int, len(entries))
+	for index := range indices {
+		indices[index] = index
+	}
+	var sequence []int
+	for len(rest) > 0 {
+		first := order.first(rest, func(share *Share) float64 { return share.virtualTime + served[share]/share.weight })
+		served[rest[first].Share]++
+		sequence = append(sequence, indices[first])
+		rest, indices = slices.Delete(rest, first, first+1), slices.Delete(indices, first, first+1)
+	}
+	return sequence
+}
+
 // Ahead returns the number of entries that are expected to be served before one that has just arrived.
 func (order *Order) Ahead(entries []Entry, added Entry) int {
 	ahead, own := 0, 0
--- a/core/order/returns.go
+++ b/core/order/returns.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller should return.
+	// MinRetryAfter is the least time after which a refused caller should return.
 	MinRetryAfter = 50 * time.Millisecond
+	// MaxRetryAfter is the longest time after which a refused caller should return.
 	MaxRetryAfter = 3 * time.Second
 	// returnFraction is the fraction of the service rate at which refused callers are asked to return. The rest is for newcomers.
 	returnFraction = 0.5
--- a/core/slots/counts.go
+++ b/core/slots/counts.go
@@ -123,6 +123,11 @@
 	return count
 }
 
+// tooManyRequested reports whether too many adapters wait to be loaded. With grants, Wait rejects those that come last.
+func (controller *Controller) tooManyRequested() bool {
+	return controller.grants == nil && controller.requestedCount() > maxRequested
+}
+
 // allRunning reports whether requests run on every loaded adapter, so that none can be evicted soon.
 func (controller *Controller) allRunning(now time.Time) bool {
 	for name, entry := range controller.entries {
--- a/core/slots/orders.go
+++ b/core/slots/orders.go
@@ -152,8 +152,11 @@
 
 // mostRequested returns the adapter to load next, or "". Adapters that the server unloaded recently come first, since
 // it loads them fast; then those whose requests can still have their first event in time. While loads are scarce, the others
-// would make these late as well.
+// would make these late as well. With grants, the order of the requests that wait for them decides.
 func (controller *Controller) mostRequested(now time.Time) string {
+	if controller.grants != nil {
+		return controller.firstWaiting(now)
+	}
 	best, bestRank, most := "", -1, -1.0
 	storeBusy := controller.storeLoadingCount() >= MaxStoreLoads
 	for _, name := range controller.names() {
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -95,12 +95,14 @@
 	case order.Kind == lentilproxy.Unload && (entry.phase == ready || entry.phase == retiring):
 		entry.phase, entry.orderAt = unloading, now
 	case order.Kind == lentilproxy.Load && entry.phase == requested:
+		controller.serveFirst(now, order.Ref.Adapter)
 		entry.phase, entry.orderAt = loading, now
 	case order.Kind == lentilproxy.Load && entry.phase == ready && !entry.replacing:
 		entry.replacing, entry.orderAt = true, now
 	default:
 		controller.repeatedOrder = true
 	}
+	controller.recordContention(now)
 }
 
 // ApplyOutcome applies the outcome of the order in progress.
@@ -167,6 +169,9 @@
 	if entry.phase != ready {
 		entry.readyAt = now
 	}
+	if entry.phase == loading && !entry.orderAt.IsZero() {
+		controller.learnLoad(now, order.Ref.Adapter, now.Sub(entry.orderAt))
+	}
 	entry.phase, entry.replacing = ready, false
 	entry.version = max(entry.version, order.Version)
 }
--- a/core/slots/request.go
+++ b/core/slots/request.go
@@ -35,6 +35,8 @@
 	LoadReady
 	// LoadRejected means that the server cannot load the adapter soon.
 	LoadRejected
+	// LoadLate means that the adapter is expected only after the request's deadline.
+	LoadLate
 )
 
 // RequestBy requests an adapter for a request that should have its first event by a point in time.
@@ -47,6 +49,14 @@
 
 // Request requests an adapter and adds to its demand, which is a number of requests.
 func (controller *Controller) Request(now time.Time, adapter string, demand float64) LoadState {
+	state := controller.request(now, adapter, demand)
+	if entry := controller.entries[adapter]; entry != nil {
+		entry.replica = true
+	}
+	return state
+}
+
+func (controller *Controller) request(now time.Time, adapter string, demand float64) LoadState {
 	entry := controller.entryOf(now, adapter)
 	lastUse := entry.lastUse
 	entry.use(now, demand)
@@ -75,7 +85,7 @@
 	case entry.phase == ready && !entry.replacing && controller.inUse(now, adapter):
 		// Requests use the previous version. The new one is loaded on another server meanwhile.
 		return LoadRejected
-	case entry.phase == requested && (controller.blocked(now) || controller.requestedCount() > maxRequested || controller.allSlotsInUse(now)):
+	case entry.phase == requested && (controller.blocked(now) || controller.tooManyRequested() || controller.allSlotsInUse(now)):
 		delete(controller.entries, adapter)
 		return LoadRejected
 	default:
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilproxy"
+	"lentilproxy/core/order"
 )
 
 const (
@@ -93,6 +94,11 @@
 	replacing bool
 	// retiredAt is when the adapter started to retire.
 	retiredAt time.Time
+	// waiting are the requests that wait for the adapter, while requests have grants. replica is set if the adapter was requested for no
+	// request in particular, and served once its load has been counted for a workspace.
+	waiting []*waiting
+	replica bool
+	served  bool
 }
 
 func (entry *adapterEntry) demandNow(now time.Time) float64 {
@@ -150,6 +156,13 @@
 	versions map[string]int64
 	// grants knows the requests that have been sent with a grant of this host; nil if hosts do not ask for grants.
 	grants *Grants
+	// loadOrder is the order of the requests that wait for adapters, and returns knows the refused ones. Both are used with grants only.
+	loadOrder *order.Order
+	returns   *order.Returns
+	loadTimes loadTimes
+	// timelySince is since when requests that can be in time have waited for a load without a break, as of contentionAt; zero if none waits.
+	timelySince  time.Time
+	contentionAt time.Time
 }
 
 // New returns the controller of a server before its first report, which is due at reportAt.
@@ -157,6 +170,7 @@
 	return &Controller{
 		capacity: capacity, gossipDelay: DefaultGossipDelay, model: model, resyncAt: reportAt, entries: map[string]*adapterEntry{},
 		versions: map[string]int64{}, running: map[string]runningCounts{}, recentlyUnloaded: map[string]time.Time{},
+		loadOrder: order.New(reportAt, loadSlack, order.WithEqualShares()), returns: order.NewReturns(), loadTimes: newLoadTimes(),
 	}
 }
 
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -25,10 +25,15 @@
 	sequence     int64
 	newest       map[string]int64
 	overCapacity bool
+	// loadTime is how long a load takes.
+	loadTime time.Duration
 }
 
 func newEngine(capacity int) *engine {
-	return &engine{capacity: capacity, loaded: map[string]int64{}, loading: map[string]time.Time{}, runs: map[string]time.Time{}, newest: map[string]int64{}}
+	return &engine{
+		capacity: capacity, loaded: map[string]int64{}, loading: map[string]time.Time{}, runs: map[string]time.Time{}, newest: map[string]int64{},
+		loadTime: 250 * time.Millisecond,
+	}
 }
 
 func (engine *engine) settle(now time.Time) {
@@ -90,7 +95,7 @@
 	if len(engine.loaded)+len(engine.loading) >= engine.capacity {
 		engine.overCapacity = true
 	}
-	engine.loading[name] = now.Add(250 * time.Millisecond)
+	engine.loading[name] = now.Add(engine.loadTime)
 	engine.sequence++
 	return lentilproxy.OrderAccepted
 }
