Hosts state priority, workspace and deadline of requests that wait for engines

Cause: fleet.load and fleet.pace did not say how urgent a request is; a request waited for loads up to its deadline and was refused then. Change: with more than 11 hosts both calls carry priority and workspace, and fleet.load the time until the adapter has to be loaded. Requests share a load request only if they are equally urgent (priority, workspace, 250 ms of due time). A lease holder may answer 'late' with the time at which the adapter can be expected. The host refuses the request at once only if every server that could load the adapter has said so; from the third server on, it relies on statements of the last 250 ms. A request that has waited for 2 s in order returns there if no other server can take it. Pacers order prompts by core/order where grants are given; forced prompts stay. Log lines 'adapter awaited', 'adapter expected too late', 'prompt held back'; metrics loads_waiting, prompts_waiting, load_refusals.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -7,8 +7,11 @@
 package pace
 
 import (
+	"slices"
 	"sort"
 	"time"
+
+	"lentilproxy/core/order"
 )
 
 const (
@@ -29,14 +32,28 @@
 	causeFraction = 0.5
 	// maxHold is how long tokens count as unread if their host does not report that they have been read.
 	maxHold = 1500 * time.Millisecond
+	// shareUnit is the number of tokens that count as one unit in the shares of workspaces, and shareSlack the number of units by which a
+	// workspace may be ahead of its share: about two usual prompts.
+	shareUnit  = 1024
+	shareSlack = 3
 )
 
 // Request is a request that wants to send its prompt.
 type Request struct {
 	ID     int64
 	Tokens int64
-	// Due is when the request should have its first event. Requests are served in this order.
+	// Due is when the request should have its first event. Requests are served in this order, unless the pacer has a full order.
 	Due time.Time
+	// Priority is 0 for the most urgent requests. Like Workspace, it counts only with a full order.
+	Priority  int
+	Workspace string
+}
+
+// waiting is a request that waits.
+type waiting struct {
+	Request
+	arrivedAt time.Time
+	share     *order.Share
 }
 
 // grant is a prompt that may have been sent and has not been read.
@@ -52,7 +69,11 @@
 	bound     float64
 	unread    int64
 	grants    map[int64]grant
-	waiting   []Request
+	// waiting holds the waiting requests by due time.
+	waiting []*waiting
+	// fullOrder is set if priorities and workspaces count.
+	fullOrder bool
+	order     *order.Order
 	// peak is the largest number of unread tokens since peakSince.
 	peak      int64
 	peakSince time.Time
@@ -65,7 +86,7 @@
 // New returns the pacer of a server whose streams have an objective for the pauses between their events.
 func New(now time.Time, objective time.Duration) *Pacer {
 	first := targetFraction * float64(objective) / float64(initialTokenTime)
-	return &Pacer{objective: objective, first: first, bound: first, grants: map[int64]grant{}, peakSince: now, updated: now}
+	return &Pacer{objective: objective, first: first, bound: first, grants: map[int64]grant{}, order: order.New(now, shareSlack, order.WithEqualShares()), peakSince: now, updated: now}
 }
 
 // Bound returns the number of unread tokens that the server should have at most.
@@ -86,12 +107,48 @@
 // Idle reports whether no request waits or has unread tokens.
 func (pacer *Pacer) Idle() bool { return len(pacer.waiting) == 0 && len(pacer.grants) == 0 }
 
-// Add adds a request to the waiting ones.
-func (pacer *Pacer) Add(request Request) {
+// SetFullOrder sets whether priorities and workspaces count besides due times.
+func (pacer *Pacer) SetFullOrder(full bool) { pacer.fullOrder = full }
+
+// Add adds a request to the waiting ones. It returns the number of requests that are ahead of it.
+func (pacer *Pacer) Add(now time.Time, request Request) (ahead int) {
+	added := &waiting{Request: request, arrivedAt: now, share: pacer.order.Arrive(now, request.Workspace, request.Priority, units(request))}
 	position := sort.Search(len(pacer.waiting), func(index int) bool { return pacer.waiting[index].Due.After(request.Due) })
-	pacer.waiting = append(pacer.waiting, Request{})
-	copy(pacer.waiting[position+1:], pacer.waiting[position:])
-	pacer.waiting[position] = request
+	ahead = position
+	if pacer.fullOrder {
+		ahead = pacer.order.Ahead(pacer.entries(now), pacer.entry(now, added))
+	}
+	pacer.waiting = slices.Insert(pacer.waiting, position, added)
+	return ahead
+}
+
+// units returns the number of units of a request in the share of its workspace.
+func units(request Request) float64 { return float64(request.Tokens) / shareUnit }
+
+// entry returns the place of a request in the order. It counts as in time if it is if its prompt is sent now.
+func (pacer *Pacer) entry(now time.Time, waiting *waiting) order.Entry {
+	tokenTime := targetFraction * float64(pacer.objective) / pacer.bound
+	read := now.Add(time.Duration(tokenTime * float64(pacer.unread+waiting.Tokens)))
+	return order.Entry{
+		Late: read.After(waiting.Due), Priority: waiting.Priority, Share: waiting.share, Due: waiting.Due, ArrivedAt: waiting.arrivedAt,
+	}
+}
+
+func (pacer *Pacer) entries(now time.Time) []order.Entry {
+	entries := make([]order.Entry, 0, len(pacer.waiting))
+	for _, waiting := range pacer.waiting {
+		entries = append(entries, pacer.entry(now, waiting))
+	}
+	return entries
+}
+
+// Counts returns the number of waiting requests by priority.
+func (pacer *Pacer) Counts() map[int]int {
+	counts := map[int]int{}
+	for _, waiting := range pacer.waiting {
+		counts[waiting.Priority]++
+	}
+	return counts
 }
 
 // Next returns the IDs of the requests that may be sent now. A request that is larger than the bound is sent when
@@ -100,24 +157,34 @@
 	pacer.advance(now)
 	var granted []int64
 	for len(pacer.waiting) > 0 {
-		request := pacer.waiting[0]
-		if pacer.unread > 0 && float64(pacer.unread+request.Tokens) > pacer.bound {
+		index := 0
+		if pacer.fullOrder && len(pacer.waiting) > 1 {
+			index = pacer.order.Next(pacer.entries(now))
+		}
+		next := pacer.waiting[index]
+		if pacer.unread > 0 && float64(pacer.unread+next.Tokens) > pacer.bound {
 			break
 		}
-		pacer.waiting = pacer.waiting[1:]
-		pacer.grant(now, request)
-		granted = append(granted, request.ID)
+		pacer.remove(now, index)
+		granted = append(granted, next.ID)
 	}
 	return granted
 }
 
+// remove grants a waiting request.
+func (pacer *Pacer) remove(now time.Time, index int) {
+	next := pacer.waiting[index]
+	pacer.waiting = slices.Delete(pacer.waiting, index, index+1)
+	pacer.order.Serve(next.share, units(next.Request))
+	pacer.grant(now, next.Request)
+}
+
 // Force grants a request that cannot wait any longer. It returns false if the request does not wait.
 func (pacer *Pacer) Force(now time.Time, id int64) bool {
 	pacer.advance(now)
 	for index, request := range pacer.waiting {
 		if request.ID == id {
-			pacer.waiting = append(pacer.waiting[:index], pacer.waiting[index+1:]...)
-			pacer.grant(now, request)
+			pacer.remove(now, index)
 			return true
 		}
 	}
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -21,11 +21,11 @@
 	is := is.New(t)
 	pacer := New(start, objective)
 	size := pacer.Bound()*2/3 + 1
-	pacer.Add(Request{ID: 1, Tokens: size, Due: start.Add(time.Second)})
+	pacer.Add(start, Request{ID: 1, Tokens: size, Due: start.Add(time.Second)})
 	is.Equal(pacer.Next(start), []int64{1})
-	pacer.Add(Request{ID: 2, Tokens: size, Due: start.Add(3 * time.Second)})
-	pacer.Add(Request{ID: 3, Tokens: size, Due: start.Add(2 * time.Second)})
-	pacer.Add(Request{ID: 4, Tokens: size, Due: start.Add(2 * time.Second)})
+	pacer.Add(start, Request{ID: 2, Tokens: size, Due: start.Add(3 * time.Second)})
+	pacer.Add(start, Request{ID: 3, Tokens: size, Due: start.Add(2 * time.Second)})
+	pacer.Add(start, Request{ID: 4, Tokens: size, Due: start.Add(2 * time.Second)})
 	is.Equal(len(pacer.Next(start)), 0)
 	pacer.Release(1)
 	is.Equal(pacer.Next(start), []int64{3})
@@ -42,8 +42,8 @@
 func TestPromptBeyondTheBoundIsSentAlone(t *testing.T) {
 	is := is.New(t)
 	pacer := New(start, objective)
-	pacer.Add(Request{ID: 1, Tokens: 10, Due: start})
-	pacer.Add(Request{ID: 2, Tokens: 100 * pacer.Bound(), Due: start.Add(1)})
+	pacer.Add(start, Request{ID: 1, Tokens: 10, Due: start})
+	pacer.Add(start, Request{ID: 2, Tokens: 100 * pacer.Bound(), Due: start.Add(1)})
 	is.Equal(pacer.Next(start), []int64{1})
 	pacer.Release(1)
 	is.Equal(pacer.Next(start), []int64{2})
@@ -52,9 +52,9 @@
 func TestTokensOfLostHostsAreFreed(t *testing.T) {
 	is := is.New(t)
 	pacer := New(start, objective)
-	pacer.Add(Request{ID: 1, Tokens: pacer.Bound(), Due: start})
+	pacer.Add(start, Request{ID: 1, Tokens: pacer.Bound(), Due: start})
 	is.Equal(len(pacer.Next(start)), 1)
-	pacer.Add(Request{ID: 2, Tokens: pacer.Bound(), Due: start})
+	pacer.Add(start, Request{ID: 2, Tokens: pacer.Bound(), Due: start})
 	is.Equal(len(pacer.Next(start.Add(maxHold-1))), 0)
 	is.Equal(pacer.Next(start.Add(maxHold)), []int64{2})
 }
@@ -65,7 +65,7 @@
 	first := pacer.Bound()
 	pacer.RecordPause(start, objective)
 	is.Equal(pacer.Bound(), first) // No prompts were unread, so they did not cause the pause.
-	pacer.Add(Request{ID: 1, Tokens: first, Due: start})
+	pacer.Add(start, Request{ID: 1, Tokens: first, Due: start})
 	pacer.Next(start)
 	now := start.Add(time.Millisecond)
 	pacer.RecordPause(now, objective/2)
@@ -75,10 +75,10 @@
 	is.True(lowered < first)
 	pacer.RecordPause(now.Add(time.Millisecond), objective)
 	is.Equal(pacer.Bound(), lowered) // Another stream observed the same pause.
-	pacer.Add(Request{ID: 2, Tokens: first, Due: start})
+	pacer.Add(start, Request{ID: 2, Tokens: first, Due: start})
 	for range 10 {
 		now = now.Add(time.Second)
-		pacer.Add(Request{ID: 3, Tokens: 1, Due: now.Add(time.Hour)})
+		pacer.Add(now, Request{ID: 3, Tokens: 1, Due: now.Add(time.Hour)})
 		pacer.Next(now)
 	}
 	is.True(pacer.Bound() > lowered) // Requests waited.
@@ -97,7 +97,7 @@
 			case 0, 1:
 				lastID++
 				sizes[lastID] = int64(rapid.IntRange(1, 9000).Draw(t, "tokens"))
-				pacer.Add(Request{ID: lastID, Tokens: sizes[lastID], Due: now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "due")) * time.Millisecond)})
+				pacer.Add(now, Request{ID: lastID, Tokens: sizes[lastID], Due: now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "due")) * time.Millisecond)})
 			case 2:
 				if len(open) > 0 {
 					pacer.Release(open[0])
@@ -188,7 +188,7 @@
 					continue
 				}
 				forceAt[lastID] = now.Add(latencyObjective / 2)
-				pacer.Add(Request{ID: lastID, Tokens: sizes[lastID], Due: now.Add(latencyObjective)})
+				pacer.Add(now, Request{ID: lastID, Tokens: sizes[lastID], Due: now.Add(latencyObjective)})
 			}
 		}
 		if paced {
@@ -231,3 +231,66 @@
 		})
 	}
 }
+
+// Guards against prompts of urgent requests that wait behind many others, against one workspace that delays the prompts of all others, and
+// against requests that never get their turn. Without a full order, priorities change nothing.
+func TestFullOrderOfPrompts(t *testing.T) {
+	is := is.New(t)
+	var now time.Time
+	var pacer *Pacer
+	var size int64
+	begin := func(full bool) {
+		now, pacer = start, New(start, objective)
+		pacer.SetFullOrder(full)
+		size = pacer.Bound()
+		pacer.Add(now, Request{ID: 1, Tokens: size, Due: now.Add(time.Second)})
+		is.Equal(pacer.Next(now), []int64{1})
+	}
+	add := func(id int64, due time.Duration, priority int, workspace string) int {
+		return pacer.Add(now, Request{ID: id, Tokens: size, Due: now.Add(due), Priority: priority, Workspace: workspace})
+	}
+	following := func(previous int64) int64 {
+		pacer.Release(previous)
+		next := pacer.Next(now)
+		is.Equal(len(next), 1)
+		return next[0]
+	}
+	addAll := func() {
+		is.Equal(add(2, time.Second, 2, "a"), 0)
+		add(3, 2*time.Second, 1, "a")
+		add(4, 3*time.Second, 1, "b")
+		add(5, 10*time.Millisecond, 0, "b") // It can no longer be in time.
+	}
+	begin(true)
+	addAll()
+	is.Equal(pacer.Counts(), map[int]int{0: 1, 1: 2, 2: 1})
+	previous := int64(1)
+	for _, id := range []int64{3, 4, 2, 5} {
+		is.Equal(following(previous), id)
+		previous = id
+	}
+	begin(false)
+	addAll()
+	is.Equal(following(1), int64(5))
+	is.Equal(following(5), int64(2))
+
+	begin(true)
+	add(2, time.Hour, 9, "patient")
+	now = now.Add(time.Millisecond)
+	for id := int64(100); id < 140; id++ {
+		add(id, time.Minute, 1, "flood")
+	}
+	add(3, 2*time.Minute, 1, "other")
+	previous = 1
+	turns, otherAt, patientAt := 0, 0, 0
+	for ; patientAt == 0; turns++ {
+		switch previous = following(previous); previous {
+		case 2:
+			patientAt = turns
+		case 3:
+			otherAt = turns
+		}
+		is.True(turns <= 16)
+	}
+	is.True(otherAt > 0 && otherAt <= 3)
+}
--- a/core/slots/waiting.go
+++ b/core/slots/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -267,7 +268,7 @@
 }
 
 // firstWaiting returns the adapter to load next, or "". Its load is as urgent as the most urgent request that waits for it. Adapters
-// whose requests are all late come last, by demand, and then those that only later requests can use.
+// whose requests are all late come last, and then those that only later requests can use.
 func (controller *Controller) firstWaiting(now time.Time) string {
 	storeBusy := controller.storeLoadingCount() >= MaxStoreLoads
 	var entries []order.Entry
@@ -299,7 +300,28 @@
 	if index := controller.loadOrder.Next(entries); !entries[index].Late || controller.loadOrder.TurnOfOldest() {
 		return adapters[index]
 	}
-	return controller.mostDemanded(now, adapters)
+	return slices.MinFunc(adapters, controller.compareLate(now))
+}
+
+// compareLate compares adapters whose requests are all late: by priority, then by demand, which is what a load still serves, then by due
+// time. Differences of demand below one request are those of its decay, which would put the newest requests first.
+func (controller *Controller) compareLate(now time.Time) func(left, right string) int {
+	return func(left, right string) int {
+		leftEntry, rightEntry := controller.entries[left], controller.entries[right]
+		leftFirst, rightFirst := leftEntry.mostUrgent(), rightEntry.mostUrgent()
+		return cmp.Or(
+			cmp.Compare(leftFirst.request.Priority, rightFirst.request.Priority),
+			cmp.Compare(math.Round(rightEntry.demandNow(now)), math.Round(leftEntry.demandNow(now))),
+			leftFirst.key.Compare(rightFirst.key), cmp.Compare(left, right),
+		)
+	}
+}
+
+// mostUrgent returns the most urgent of the waiting requests.
+func (entry *adapterEntry) mostUrgent() *waiting {
+	return slices.MinFunc(entry.waiting, func(left, right *waiting) int {
+		return cmp.Or(cmp.Compare(left.request.Priority, right.request.Priority), left.key.Compare(right.key))
+	})
 }
 
 func (controller *Controller) mostDemanded(now time.Time, adapters []string) string {
@@ -365,7 +387,7 @@
 }
 
 // loadSequence returns the adapters that requests wait for in the order in which they are expected to be loaded: those with requests that can
-// be in time, then the others by demand.
+// be in time, then the others.
 func (controller *Controller) loadSequence(now time.Time, includes func(adapter string) bool) []string {
 	var entries []order.Entry
 	var timely, late []string
@@ -387,9 +409,7 @@
 	for _, index := range controller.loadOrder.Sequence(entries) {
 		names = append(names, timely[index])
 	}
-	slices.SortStableFunc(late, func(left, right string) int {
-		return cmp.Compare(controller.entries[right].demandNow(now), controller.entries[left].demandNow(now))
-	})
+	slices.SortFunc(late, controller.compareLate(now))
 	return append(names, late...)
 }
 
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -112,7 +112,9 @@
 	versionChanges int64
 	registry       *lease.Registry
 	controllers    map[string]*controller
-	peers          map[string]*peerState
+	// lastLoad is the ID of the last load request that was put in order.
+	lastLoad int64
+	peers    map[string]*peerState
 	// pendingDemand counts requests for adapters by server until they are sent to the server's lease holder.
 	pendingDemand map[string]map[string]float64
 	// running counts this host's requests by server and adapter, as of the last gossip interval.
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -248,9 +248,7 @@
 		if at, found := queue.queue.NextEvent(now); found {
 			next = min(next, max(time.Millisecond, at.Sub(now)))
 		}
-		for priority, count := range queue.queue.Waiting() {
-			waiting[min(max(0, priority), maxGaugePriority)] += count
-		}
+		addByPriority(waiting, queue.queue.Waiting())
 	}
 	if report {
 		for priority := range maxGaugePriority + 1 {
--- a/io/coord/load.go
+++ b/io/coord/load.go
@@ -19,6 +19,8 @@
 	LoadRejected LoadOutcome = "full"
 	// LoadTimeout means that the adapter was not loaded in time.
 	LoadTimeout LoadOutcome = "timeout"
+	// LoadLate means that the adapter cannot be loaded before the request's deadline.
+	LoadLate LoadOutcome = "late"
 	// LoadNoHolder means that no lease holder can order the load: there is none, it did not respond, or the server is
 	// draining, wants no orders or has restarted.
 	LoadNoHolder LoadOutcome = "no_holder"
@@ -39,60 +41,103 @@
 	WaitMS        int64   `json:"wait_ms"`
 	// DueMS is the time until the request should have its first event; 0 if the load is not for a waiting request.
 	DueMS int64 `json:"due_ms,omitempty"`
+	// Priority is that of the waiting request, 0 for the most urgent ones. It is absent without grants, and in calls of hosts that do not
+	// state it. The other fields belong to it: DeadlineMS is the time until the adapter has to be loaded, LeftMS the time that the caller
+	// has left, and Repeated reports that another server has refused the request before.
+	Priority   *int   `json:"priority,omitempty"`
+	Workspace  string `json:"workspace,omitempty"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	LeftMS     int64  `json:"left_ms,omitempty"`
+	Digest     string `json:"digest,omitempty"`
+	Repeated   bool   `json:"repeated,omitempty"`
 }
 
 type loadResult struct {
 	Outcome LoadOutcome `json:"outcome"`
 	Version int64       `json:"version,omitempty"`
+	// Reason, ExpectedMS and RetryMS belong to the outcome late: the time until the adapter could be loaded, and until the caller should
+	// return. Ahead is the number of loads that were ahead when the request arrived.
+	Reason     slots.Reason `json:"reason,omitempty"`
+	ExpectedMS int64        `json:"expected_ms,omitempty"`
+	RetryMS    int64        `json:"retry_ms,omitempty"`
+	Ahead      int          `json:"ahead,omitempty"`
+	// Ordered reports that the request was put in order.
+	Ordered bool `json:"ordered,omitempty"`
 }
 
 // loadKey identifies a load request. All requests of a host with the same key share it.
 type loadKey struct {
 	incarnation spec.Incarnation
 	adapter     string
+	urgency     urgency
 }
 
 type pendingLoad struct {
-	done    chan struct{}
-	outcome LoadOutcome
+	done   chan struct{}
+	result LoadResult
 }
 
 // Load requests that an adapter be loaded on a server, and waits for the outcome.
-// Due is the time until the waiting request should have its first event.
-func (coordinator *Coordinator) Load(ctx context.Context, server spec.Server, adapter string, due time.Duration) LoadOutcome {
-	pending := coordinator.requestLoad(server, adapter, due)
-	select {
-	case <-pending.done:
-		return pending.outcome
-	case <-ctx.Done():
-		return LoadTimeout
+func (coordinator *Coordinator) Load(ctx context.Context, server spec.Server, request LoadRequest) LoadResult {
+	startedAt := clock.Now()
+	deadline := startedAt.Add(request.Deadline)
+	if result, known := coordinator.knownLate(startedAt, server, request); known {
+		return result
+	}
+	for {
+		pending, joined := coordinator.requestLoad(server, request)
+		select {
+		case <-pending.done:
+		case <-ctx.Done():
+			return LoadResult{Outcome: LoadTimeout}
+		}
+		result := pending.result
+		if result.Outcome != LoadLate || !joined || request.Deadline > 0 && result.Expected.After(deadline) {
+			return result
+		}
+		// The load is late for the request that it was asked for, but not for this one.
+		now := clock.Now()
+		request.Due -= now.Sub(startedAt)
+		request.Deadline = deadline.Sub(now)
+		startedAt = now
 	}
 }
 
 // Replicate requests that another copy of an adapter be loaded on a server, without waiting for it.
 func (coordinator *Coordinator) Replicate(server spec.Server, adapter string) {
-	coordinator.requestLoad(server, adapter, 0)
+	coordinator.requestLoad(server, LoadRequest{Adapter: adapter, Replica: true})
 }
 
 // requestLoad returns the load request for an adapter on a server. It starts one unless one is in progress.
-func (coordinator *Coordinator) requestLoad(server spec.Server, adapter string, due time.Duration) *pendingLoad {
-	return coordinator.traffic.joinLoad(loadKey{incarnation: server.Incarnation(), adapter: adapter}, func(pending *pendingLoad) {
-		go coordinator.runLoad(server, adapter, due, pending)
+func (coordinator *Coordinator) requestLoad(server spec.Server, request LoadRequest) (pending *pendingLoad, joined bool) {
+	key := loadKey{incarnation: server.Incarnation(), adapter: request.Adapter}
+	ordered := !request.Replica && coordinator.traffic.grantsInUse()
+	if ordered {
+		key.urgency = urgencyOf(clock.Now(), request)
+	}
+	joined = true
+	pending = coordinator.traffic.joinLoad(key, func(pending *pendingLoad) {
+		joined = false
+		params := loadParams{
+			Server: server.ID, StartedMillis: server.StartedMillis, Adapter: request.Adapter, Demand: 1, WaitMS: maxLoadWait.Milliseconds(),
+			DueMS: max(0, request.Due.Milliseconds()),
+		}
+		if ordered {
+			request.apply(&params)
+		}
+		go coordinator.runLoad(server, params, key, pending)
 	})
+	return pending, joined
 }
 
 // runLoad sends a load request to the lease holder of the server and stores the outcome.
-func (coordinator *Coordinator) runLoad(server spec.Server, adapter string, due time.Duration, pending *pendingLoad) {
-	params := loadParams{
-		Server: server.ID, StartedMillis: server.StartedMillis, Adapter: adapter, Demand: 1, WaitMS: maxLoadWait.Milliseconds(),
-		DueMS: max(0, due.Milliseconds()),
-	}
+func (coordinator *Coordinator) runLoad(server spec.Server, params loadParams, key loadKey, pending *pendingLoad) {
 	result := coordinator.callHolder(params)
 	if result.Outcome == LoadReady {
-		coordinator.traffic.addAdapter(server, adapter, result.Version)
+		coordinator.traffic.addAdapter(server, params.Adapter, result.Version)
 	}
-	pending.outcome = result.Outcome
-	coordinator.traffic.removeLoad(loadKey{incarnation: server.Incarnation(), adapter: adapter})
+	pending.result = coordinator.recordLoad(clock.Now(), key, result)
+	coordinator.traffic.removeLoad(key)
 	close(pending.done)
 }
 
@@ -140,63 +185,53 @@
 
 func (control *control) awaitLoad(ctx context.Context, params loadParams) loadResult {
 	deadline := clock.Now().Add(time.Duration(params.WaitMS) * time.Millisecond)
-	first := true
+	var waits loadWait
 	for {
 		var result loadResult
-		var changed chan struct{}
 		if !control.coordinator.do(func(now time.Time) {
-			control.coordinator.traffic.pacers.uses.locked(func() { result, changed = control.checkLoad(now, params, first) })
+			control.coordinator.traffic.pacers.uses.locked(func() { result = control.checkLoad(now, params, &waits) })
 		}) {
 			return loadResult{Outcome: LoadNoHolder}
 		}
-		first = false
 		if result.Outcome != "" {
 			return result
 		}
-		remaining := deadline.Sub(clock.Now())
-		if remaining <= 0 {
-			return loadResult{Outcome: LoadTimeout}
-		}
-		timer := time.NewTimer(remaining)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return loadResult{Outcome: LoadTimeout}
+		now := clock.Now()
+		if now.Before(deadline) && ctx.Err() == nil {
+			waits.await(ctx, now, deadline)
+			continue
 		}
+		control.coordinator.post(func(time.Time) { control.leaveLoad(params, &waits) })
+		return loadResult{Outcome: LoadTimeout, Ahead: waits.ahead, Ordered: waits.id != 0}
 	}
 }
 
-// checkLoad returns the current result of a load request. An empty outcome means that the load may still succeed; the
-// channel is closed after the next change. The first check of a request also registers it with the controller.
-func (control *control) checkLoad(now time.Time, params loadParams, first bool) (loadResult, chan struct{}) {
+// checkLoad, with uses locked, returns the current result of a load request. An empty outcome means that the load may still succeed. The
+// first check of a request also registers it with the controller.
+func (control *control) checkLoad(now time.Time, params loadParams, waits *loadWait) loadResult {
 	controller := control.controllers[params.Server]
 	if controller == nil || controller.server.StartedMillis != params.StartedMillis || controller.server.Draining || controller.server.Evacuated {
-		return loadResult{Outcome: LoadNoHolder}, nil
+		return loadResult{Outcome: LoadNoHolder}
 	}
 	if _, holds := control.registry.FencingToken(now, params.Server); !holds {
-		return loadResult{Outcome: LoadNoHolder}, nil
+		return loadResult{Outcome: LoadNoHolder}
 	}
 	if control.coordinator.traffic.Wait(now, controller.server.Incarnation()) > 0 {
-		return loadResult{Outcome: LoadNoHolder}, nil
-	}
-	var state slots.LoadState
-	if first {
-		due := now.Add(time.Duration(params.DueMS) * time.Millisecond)
-		state = controller.slots.RequestBy(now, params.Adapter, params.Demand, due)
-		controller.wakeUp()
-	} else {
-		state = controller.slots.State(now, params.Adapter)
+		return loadResult{Outcome: LoadNoHolder}
 	}
-	switch state {
+	answer := control.askSlots(now, controller, params, waits)
+	switch answer.State {
 	case slots.LoadReady:
-		return loadResult{Outcome: LoadReady, Version: controller.slots.Ready()[params.Adapter]}, nil
+		return loadResult{Outcome: LoadReady, Version: controller.slots.Ready()[params.Adapter], Ahead: answer.Ahead}
 	case slots.LoadRejected:
-		return loadResult{Outcome: LoadRejected}, nil
+		return loadResult{Outcome: LoadRejected, Ahead: answer.Ahead}
+	case slots.LoadLate:
+		return loadResult{
+			Outcome: LoadLate, Reason: answer.Reason, ExpectedMS: max(1, answer.Expected.Sub(now).Milliseconds()),
+			RetryMS: answer.RetryAfter.Milliseconds(), Ahead: answer.Ahead,
+		}
 	default:
-		return loadResult{}, controller.changed
+		waits.changed, waits.checkAt, waits.ahead = controller.changed, answer.CheckAt, answer.Ahead
+		return loadResult{}
 	}
 }
--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lentilproxy/core/order"
 	"lentilproxy/core/pace"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
@@ -38,10 +39,16 @@
 	MinVersion int64  `json:"min_version,omitempty"`
 	Memory     int64  `json:"memory,omitempty"`
 	LeftMS     int64  `json:"left_ms,omitempty"`
+	// Priority is that of the request, 0 for the most urgent ones. It is absent without grants, and in calls of hosts that do not state it.
+	Priority  *int   `json:"priority,omitempty"`
+	Workspace string `json:"workspace,omitempty"`
 }
 
 type paceResult struct {
 	Ticket int64 `json:"ticket"`
+	// Ahead is the number of requests that were ahead when the request arrived. Forced reports that it could not wait any longer.
+	Ahead  int  `json:"ahead,omitempty"`
+	Forced bool `json:"forced,omitempty"`
 	// Granted reports whether the server's lease holder has granted the use of the adapter until the end of the request is
 	// reported. Missing reports that it is not loaded, so that the request must not be sent.
 	Granted bool `json:"granted,omitempty"`
@@ -122,6 +129,17 @@
 	}
 }
 
+// waiting returns the number of prompts that wait at this host, by priority.
+func (pacers *pacers) waiting() map[int]int {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	counts := map[int]int{}
+	for _, server := range pacers.servers {
+		addByPriority(counts, server.pacer.Counts())
+	}
+	return counts
+}
+
 // hostFor returns the host that paces a server, and its address. The address is empty for this host, and found is false
 // if there is no host to ask.
 func (pacers *pacers) hostFor(now time.Time, server string) (name, address string, found bool) {
@@ -152,13 +170,16 @@
 	if use.missing {
 		return paceResult{Missing: true}
 	}
-	ticket, granted := pacers.add(now, use.ticket, params)
+	ticket := use.ticket
+	ahead, granted := pacers.add(now, ticket, params)
+	forced := false
 	result := func() paceResult {
-		if !use.granted {
-			return paceResult{Ticket: ticket}
+		result := paceResult{Ticket: ticket, Ahead: ahead, Forced: forced}
+		if use.granted {
+			usage := pacers.usageOf(incarnation)
+			result.Granted, result.Usage = true, &usage
 		}
-		usage := pacers.usageOf(incarnation)
-		return paceResult{Ticket: ticket, Granted: true, Usage: &usage}
+		return result
 	}
 	if granted == nil {
 		return result()
@@ -171,7 +192,7 @@
 	case <-ctx.Done():
 	}
 	pacers.update(params.Server, params.StartedMillis, func(now time.Time, server *serverPacer) {
-		server.pacer.Force(now, ticket)
+		forced = server.pacer.Force(now, ticket)
 		delete(server.granted, ticket)
 	})
 	return result()
@@ -195,11 +216,13 @@
 	return usage
 }
 
-// add adds a request to a pacer. The channel is nil if the prompt may be sent at once.
-func (pacers *pacers) add(now time.Time, ticket int64, params paceParams) (int64, <-chan struct{}) {
+// add adds a request to a pacer. It returns the number of requests that are ahead, and a channel that is nil if the prompt may be sent at
+// once.
+func (pacers *pacers) add(now time.Time, ticket int64, params paceParams) (ahead int, waits <-chan struct{}) {
+	incarnation := spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}
+	grants := pacers.uses.issued(incarnation)
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
-	incarnation := spec.Incarnation{ID: params.Server, StartedMillis: params.StartedMillis}
 	server := pacers.servers[incarnation]
 	if server == nil {
 		server = &serverPacer{pacer: pace.New(now, time.Duration(params.ObjectiveMS)*time.Millisecond), granted: map[int64]chan struct{}{}}
@@ -207,12 +230,25 @@
 	}
 	granted := make(chan struct{})
 	server.granted[ticket] = granted
-	server.pacer.Add(pace.Request{ID: ticket, Tokens: params.Tokens, Due: now.Add(time.Duration(params.DueMS) * time.Millisecond)})
+	server.pacer.SetFullOrder(grants)
+	ahead = server.pacer.Add(now, requestOf(now, ticket, params))
 	server.dispatch(now)
 	if _, waits := server.granted[ticket]; !waits {
-		return ticket, nil
+		return ahead, nil
 	}
-	return ticket, granted
+	return ahead, granted
+}
+
+// requestOf returns the request of a call. Those of hosts that do not state a priority are the least urgent ones.
+func requestOf(now time.Time, ticket int64, params paceParams) pace.Request {
+	request := pace.Request{
+		ID: ticket, Tokens: params.Tokens, Due: now.Add(time.Duration(params.DueMS) * time.Millisecond), Priority: order.LeastUrgent,
+		Workspace: params.Workspace,
+	}
+	if params.Priority != nil {
+		request.Priority = *params.Priority
+	}
+	return request
 }
 
 // dispatch grants the requests that may be sent now.
@@ -276,6 +312,8 @@
 	ticket      int64
 	granted     bool
 	missing     bool
+	ahead       int
+	forced      bool
 	once        sync.Once
 	doneOnce    sync.Once
 }
@@ -293,7 +331,9 @@
 	Adapter    string
 	MinVersion int64
 	// Left is the time until the request ends at the latest.
-	Left time.Duration
+	Left      time.Duration
+	Priority  int
+	Workspace string
 }
 
 // pacerOf returns the host to ask before a request is sent to a server, and its address, which is empty for this host. With many
@@ -322,6 +362,7 @@
 	if coordinator.traffic.grantsInUse() {
 		params.Adapter, params.MinVersion, params.LeftMS = request.Adapter, request.MinVersion, request.Left.Milliseconds()
 		params.Memory = request.Tokens + request.OutputTokens
+		params.Priority, params.Workspace = &request.Priority, request.Workspace
 	}
 	prompt := &Prompt{coordinator: coordinator, server: server, address: address}
 	if address == "" {
@@ -359,6 +400,7 @@
 // apply applies the response of the pacer.
 func (prompt *Prompt) apply(result paceResult) {
 	prompt.ticket, prompt.granted, prompt.missing = result.Ticket, result.Granted, result.Missing
+	prompt.ahead, prompt.forced = result.Ahead, result.Forced
 	if result.Usage != nil && prompt.address != "" {
 		prompt.coordinator.traffic.setServerUsage(clock.Now(), prompt.server.ID, *result.Usage)
 	}
@@ -370,6 +412,14 @@
 // Missing reports that the server does not have the request's adapter, so that the request must not be sent.
 func (prompt *Prompt) Missing() bool { return prompt != nil && prompt.missing }
 
+// Wait returns the number of requests that were ahead of this one at the pacer, and whether it was sent since it could not wait any longer.
+func (prompt *Prompt) Wait() (ahead int, forced bool) {
+	if prompt == nil {
+		return 0, false
+	}
+	return prompt.ahead, prompt.forced
+}
+
 // End records that the prompt has been read or will not be. Only the first call counts.
 func (prompt *Prompt) End() {
 	if prompt == nil || prompt.missing {
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -41,6 +41,8 @@
 	members  int
 	fraction float64
 	loads    map[loadKey]*pendingLoad
+	// lateLoads holds what lease holders have stated of servers on which loads are late.
+	lateLoads map[spec.Incarnation]lateLoad
 	// demand counts the requests for adapters that started since the last gossip interval, and running those in
 	// progress, by server and adapter.
 	demand  map[string]map[string]float64
@@ -72,7 +74,7 @@
 		coordinator: coordinator, scheduler: newScheduler(coordinator.settings, gate), gate: gate,
 		fraction: limit.NewMembership(coordinator.settings.Host.Name).Fraction(clock.Now()),
 		budgets:  map[string]*retry.Budget{},
-		loads:    map[loadKey]*pendingLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
+		loads:    map[loadKey]*pendingLoad{}, lateLoads: map[spec.Incarnation]lateLoad{}, demand: map[string]map[string]float64{}, running: map[string]map[string]int{}, holders: map[string]holder{},
 		lenders: lenders{addresses: map[string]string{}}, limits: map[string]limit.Entitlement{},
 		bounds: coordinator.settings.Bounds, pacers: newPacers(),
 	}
--- a/io/coord/uses.go
+++ b/io/coord/uses.go
@@ -55,6 +55,13 @@
 	return use{ticket: ticket, granted: granted, missing: !granted}
 }
 
+// issued reports whether this host gives grants for a server.
+func (uses *uses) issued(incarnation spec.Incarnation) bool {
+	uses.mutex.Lock()
+	defer uses.mutex.Unlock()
+	return uses.servers[incarnation] != nil
+}
+
 func (uses *uses) end(incarnation spec.Incarnation, ticket int64) {
 	uses.mutex.Lock()
 	defer uses.mutex.Unlock()
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -112,6 +112,10 @@
 		case refusal == nil:
 			continue
 		}
+		if refusal.Code() == refuse.CodeNoCapacity && call.askAgain() {
+			continue
+		}
+		refusal = call.lateRefusal(refusal)
 		last = refuse.Merge(last, refusal)
 		if refusal.Code() == refuse.CodeOverloaded || !call.waitForServer() {
 			return spec.Server{}, last
@@ -216,21 +220,6 @@
 	return call.receivedAt.Add(time.Duration(serverWaitFraction * float64(call.firstEventDeadline.Sub(call.receivedAt))))
 }
 
-// load requests that the adapter be loaded on a server. It reports whether the request can be sent there.
-func (call *call) load(choice sched.Choice) bool {
-	startedAt := clock.Now()
-	ctx, cancel := context.WithTimeout(call.ctx, call.firstEventDeadline.Sub(startedAt)-firstEventMargin)
-	defer cancel()
-	outcome := call.service.coordinator.Load(ctx, choice.Server, call.info.Model.Adapter, call.receivedAt.Add(call.route.Objective).Sub(startedAt))
-	call.loadTime += clock.Now().Sub(startedAt)
-	call.service.metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("adapter_loads").Inc(1)
-	if outcome == coord.LoadReady {
-		return true
-	}
-	call.full.Add(choice.Server.ID)
-	return false
-}
-
 // waitForServer waits for serverPollInterval, after which servers that could not load the adapter are candidates again.
 // It returns false once the request should be refused.
 func (call *call) waitForServer() bool {
@@ -242,6 +231,8 @@
 	select {
 	case <-timer.C:
 		clear(call.full)
+		clear(call.late)
+		clear(call.slow)
 		return true
 	case <-call.ctx.Done():
 		return false
@@ -309,9 +300,11 @@
 	startedAt := clock.Now()
 	prompt := call.service.coordinator.Pace(call.ctx, server, coord.PromptRequest{
 		Tokens: call.info.PromptTokens, OutputTokens: call.info.OutputTokens, MaxWait: maxWait, Due: due, GapObjective: objective, Adapter: call.info.Model.Adapter,
-		MinVersion: call.view.Versions[call.info.Model], Left: call.remaining(),
+		MinVersion: call.view.Versions[call.info.Model], Left: call.remaining(), Priority: call.priority(), Workspace: call.workspace.Name,
 	})
-	call.paceTime += clock.Now().Sub(startedAt)
+	waited := clock.Now().Sub(startedAt)
+	call.paceTime += waited
+	call.logPrompt(server, prompt, waited)
 	return prompt
 }
 
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -114,6 +114,10 @@
 	attempts link.Attempts
 	// full holds the servers that could not load the adapter.
 	full value.Set[string]
+	// late holds those of them on which the adapter is expected after the request's deadline.
+	late map[string]coord.LoadResult
+	// slow holds those of them at which the request may wait again.
+	slow value.Set[string]
 	// servers holds the servers to which the request was sent, for the log.
 	servers []string
 	// sentCount is the number of attempts that reached a server, and runCount that of attempts that may have run there.
@@ -150,7 +154,7 @@
 func (service *Service) Handle(ctx context.Context, exchange *front.Exchange) {
 	call := &call{
 		service: service, exchange: exchange, view: service.coordinator.View(), receivedAt: clock.Now(),
-		avoid: value.NewSet[string](), full: value.NewSet[string](),
+		avoid: value.NewSet[string](), full: value.NewSet[string](), late: map[string]coord.LoadResult{}, slow: value.NewSet[string](),
 	}
 	refusal := call.admit(ctx)
 	if refusal == nil {
