A request without time left does not wait for a load without a deadline

Cause: the time left before the first-event deadline may be negative, which the lease holder would have taken for no deadline. Change: at least 1 ms is stated. Measured: tests of io/serve, and of platform on loads, adapters and limits pass.

--- a/io/serve/wait.go
+++ b/io/serve/wait.go
@@ -21,8 +21,9 @@
 	left := call.firstEventDeadline.Sub(startedAt) - firstEventMargin
 	ctx, cancel := context.WithTimeout(call.ctx, left)
 	defer cancel()
+	// Without time left, a deadline of 0 would let the load wait for nobody.
 	request := coord.LoadRequest{
-		Adapter: call.info.Model.Adapter, Due: call.receivedAt.Add(call.route.Objective).Sub(startedAt), Deadline: left, Left: call.remaining(),
+		Adapter: call.info.Model.Adapter, Due: call.receivedAt.Add(call.route.Objective).Sub(startedAt), Deadline: max(left, time.Millisecond), Left: call.remaining(),
 		Priority: call.priority(), Workspace: call.workspace.Name, Digest: call.digest, Refusals: len(call.late),
 	}
 	if call.exchange.Begun() {
