--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -103,6 +103,7 @@
 	case order.Kind == lentilproxy.Unload && (entry.phase == ready || entry.phase == retiring):
 		entry.phase, entry.orderAt = unloading, now
 	case order.Kind == lentilproxy.Load && entry.phase == requested:
+		controller.serveFirst(now, order.Ref.Adapter)
 		entry.phase, entry.orderAt, entry.loadOrderedAt, entry.loadTime = loading, now, now, 0
 	case order.Kind == lentilproxy.Load && entry.phase == ready && !entry.replacing:
 		entry.replacing, entry.orderAt, entry.loadOrderedAt, entry.loadTime = true, now, now, 0
@@ -178,6 +179,9 @@
 	if entry.phase != ready {
 		entry.readyAt = now
 	}
+	if entry.phase == loading && !entry.orderAt.IsZero() {
+		controller.learnLoad(now, order.Ref.Adapter, now.Sub(entry.orderAt))
+	}
 	entry.phase, entry.replacing = ready, false
 	entry.version = max(entry.version, order.Version)
 }
