Requests sent to a server that has just crashed count less in a verdict

Change: of the parts with enough crashes, a verdict takes one that was certainly in flight at the most of them. A request was certainly in flight if it was sent at most 50 ms after the first report of the crash. Those sent up to 250 ms after still count towards the crashes that a verdict needs: a host whose reports take longer, or a connection that was closed shortly before the crash, must not hide the request at fault.

Measured: TestDecideBlocks, 'a request to a server that had just crashed' and 'requests to servers that had just crashed, at more crashes', fail without the change. 'requests that always seem to be sent after the crash' guards the bound of the part at fault.

--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -24,6 +24,9 @@
 	evidenceTime = RefusalDuration
 	// AliveSlack is how long after its crash bytes that a server sent before may be read.
 	AliveSlack = 250 * time.Millisecond
+	// sentSlack is how much later than its crash a request that was in flight there may seem to have been sent: reports of several
+	// hosts take different times. Requests that were sent later, up to AliveSlack, count less: most of them were sent after the crash.
+	sentSlack = 50 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept, and maxCrashParts the parts of all requests of one of them.
 	maxCrashes    = 128
 	maxCrashParts = 2048
@@ -60,8 +63,8 @@
 // A part counts as the cause once it was in flight at CrashesToBlock crashes, and no request with it has survived since the
 // first of them. Servers that fail together count once: a further crash must be crashSpacing later, or a request with the part
 // must have been sent after the one before. If some requests with the part have begun, BegunCrashesToBlock servers must have
-// crashed in all; some of them may have failed together. Of several such parts the most specific one is blocked, along with the
-// parts that always accompany it, unless these have been seen to be sound.
+// crashed in all; some of them may have failed together. Of several such parts the most specific one of those that were certainly
+// in flight at the most crashes is blocked, along with the parts that always accompany it, unless these have been seen to be sound.
 type Analyzer struct {
 	crashes   map[string]*evidence
 	sightings map[Part]Sighting
@@ -219,6 +222,10 @@
 	strikes int
 	first   time.Time
 	last    time.Time
+	// certain is the number of strikes at which a request with the part was sent before the crash, and lastCertain reports
+	// whether the last one is among them.
+	certain     int
+	lastCertain bool
 	// requests are all requests with the part at those crashes.
 	requests []Request
 	// crashes are the keys of all those crashes.
@@ -285,7 +292,11 @@
 	sentLater := func(request Request) bool { return request.SentAt.After(against.last) }
 	if against.strikes == 0 || at.Sub(against.last) >= crashSpacing || slices.ContainsFunc(requests, sentLater) {
 		against.strikes++
-		against.last = at
+		against.last, against.lastCertain = at, false
+	}
+	if !against.lastCertain && slices.ContainsFunc(requests, func(request Request) bool { return !request.SentAt.After(at.Add(sentSlack)) }) {
+		against.certain++
+		against.lastCertain = true
 	}
 }
 
@@ -328,9 +339,10 @@
 	return parts, incarnations
 }
 
-// comparePower orders suspicions by the crashes that they explain, the most first, and then by the number of requests.
+// comparePower orders suspicions by the crashes that they explain, the most first, those before which a request was certainly
+// sent before others, and then by the number of requests.
 func comparePower(left, right *suspicion) int {
-	return cmp.Or(cmp.Compare(right.strikes, left.strikes), cmp.Compare(len(left.requests), len(right.requests)), cmp.Compare(left.part, right.part))
+	return cmp.Or(cmp.Compare(right.certain, left.certain), cmp.Compare(right.strikes, left.strikes), cmp.Compare(len(left.requests), len(right.requests)), cmp.Compare(left.part, right.part))
 }
 
 // narrower reports whether the requests of a suspicion are some of those of another one.
--- a/core/crash/analyzer_test.go
+++ b/core/crash/analyzer_test.go
@@ -101,6 +101,30 @@
 				crashed(2000, "s3", request(1900, "bad"), request(1950, "rare")), crashed(2500, "s4", request(2400, "bad"), request(2400, "rare")),
 			}, 9000, [][]string{{"bad"}},
 		},
+		"a request to a server that had just crashed": {
+			[]step{
+				crashed(1000, "s1", request(900, "a", "bad", "b")), begun(1500, "a"), crashed(2000, "s2", request(1900, "a", "bad", "b")),
+				crashed(3000, "s3", request(2900, "a", "bad", "c"), request(2950, "a", "bad", "d"), request(3187, "a", "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"requests to servers that had just crashed, at more crashes": {
+			[]step{
+				crashed(500, "s0", request(450, "b")), crashed(1000, "s1", request(900, "a", "bad", "b")), begun(1500, "a"),
+				crashed(2000, "s2", request(1900, "a", "bad"), request(2100, "a", "b")), crashed(3000, "s3", request(2900, "a", "bad"), request(3187, "a", "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"reports that take different times": {
+			[]step{
+				crashed(1000, "s1", request(950, "a"), request(1040, "bad", "b")), crashed(2000, "s2", request(1950, "a"), request(2040, "bad", "b")),
+				crashed(3000, "s3", request(2950, "c"), request(3040, "bad"), request(3187, "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"requests that always seem to be sent after the crash": {
+			[]step{
+				crashed(1000, "s1", request(950, "a"), request(1200, "bad")), crashed(2000, "s2", request(1950, "b"), request(2200, "bad")),
+				crashed(3000, "s3", request(2950, "c"), request(3200, "bad")),
+			}, 9000, [][]string{{"bad"}},
+		},
 		"another crash beside": {
 			[]step{
 				crashed(500, "s0", request(400, "a")), crashed(1000, "s1", request(900, "a", "bad"), request(900, "a")),
