Servers that fall silent count if the callers of the request leave early

The silence was not counted, since it was looked at only when the request ended, and no connection was tried to a registered server that had not responded.

Change: while a server is watched after an unfinished request, a host looks again. If another of its requests has waited there for 250 ms, and the server has sent nothing since it got the first one, the server counts as silent under both. If a server has sent nothing to the host for 250 ms, the host finds out whether it still accepts connections; an idle connection that is open suffices. The head of each response counts as a sign of life, also that of an error. A request whose callers leave early is not suspended if its servers respond to others or have no other requests of the host in flight.

TestRequestsWhoseCallersLeaveEarly, 'other callers wait', fails without the change.

--- a/io/block/block.go
+++ b/io/block/block.go
@@ -141,8 +141,9 @@
 	sending int
 	// checks is the number of servers that are being checked.
 	checks int
-	// watches holds the servers that may have crashed, by Run.key.
+	// watches holds the servers that may have crashed, and flights the requests in flight, by Run.key.
 	watches map[string]*watch
+	flights map[string]map[*Run]struct{}
 	// silenced holds the servers that fell silent under whole requests.
 	silenced *value.Recent[crash.Part, silence]
 	limiter  *rate.Limiter
@@ -195,7 +196,7 @@
 	exchanger := &Exchanger{
 		ctx: ctx, host: host, call: call, peers: peers, clock: time.Now, log: logr.Discard(), metrics: tally.NoopScope, store: noStore{},
 		stopped: make(chan struct{}), history: crash.NewHistory(), analyzer: crash.NewAnalyzer(), list: crash.NewBlocklist(), pending: map[string]*pendingReport{},
-		watches: map[string]*watch{}, silenced: value.NewRecent[crash.Part, silence](maxSilenced),
+		watches: map[string]*watch{}, flights: map[string]map[*Run]struct{}{}, silenced: value.NewRecent[crash.Part, silence](maxSilenced),
 		limiter: rate.NewLimiter(reportRate, reportBurst),
 	}
 	for _, option := range options {
--- a/io/block/ending.go
+++ b/io/block/ending.go
@@ -38,8 +38,9 @@
 	ServerSound
 )
 
-// Look returns what is known of a server.
-type Look func(ctx context.Context) ServerState
+// Look returns what is known of a server. If quiet is set, the server has sent nothing to this host for minSilence: it may be
+// worth a connection to find out whether it still accepts any.
+type Look func(ctx context.Context, quiet bool) ServerState
 
 // watch is the watch on one server. Its runs are ordered by their ends.
 type watch struct {
@@ -50,6 +51,36 @@
 type unfinishedRun struct {
 	Run
 	endedAt time.Time
+	// silent is set once the server has been counted as silent under the request.
+	silent bool
+}
+
+// Sent records that a request is in flight on a server until the returned function is called.
+func (exchanger *Exchanger) Sent(run *Run) (returned func()) {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	key := run.key()
+	if exchanger.flights[key] == nil {
+		exchanger.flights[key] = map[*Run]struct{}{}
+	}
+	exchanger.flights[key][run] = struct{}{}
+	return func() {
+		exchanger.mutex.Lock()
+		defer exchanger.mutex.Unlock()
+		delete(exchanger.flights[key], run)
+		if len(exchanger.flights[key]) == 0 {
+			delete(exchanger.flights, key)
+		}
+	}
+}
+
+// Responded records that a server has sent the head of a response.
+func (exchanger *Exchanger) Responded(now time.Time, run *Run) {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	if run.Incarnation != "" {
+		exchanger.history.Responded(now, run.Incarnation)
+	}
 }
 
 // Ended records a successful response after which the server may have crashed. It counts once connect has shown whether the
@@ -105,21 +136,33 @@
 		exchanger.watches[key] = watched
 		exchanger.spawn(checkDelay, func() { exchanger.watch(key, watched) })
 	}
-	exchanger.countSilent(now, run)
+	ended := unfinishedRun{Run: *run, endedAt: now}
+	if exchanger.silentSince(now, run) {
+		exchanger.countSilent(now, &ended)
+	}
 	watched.look = look
-	watched.runs = append(watched.runs, unfinishedRun{Run: *run, endedAt: now})
+	watched.runs = append(watched.runs, ended)
 	watched.runs = watched.runs[max(0, len(watched.runs)-maxReportRequests):]
 }
 
 // silence holds the servers that fell silent under a request, and when they did.
 type silence map[string]time.Time
 
+// silentSince reports whether a server has sent nothing to this host since a request was sent to it, for minSilence or longer.
+// The mutex must be held.
+func (exchanger *Exchanger) silentSince(now time.Time, run *Run) bool {
+	return exchanger.unanswered(run) && now.Sub(run.SentAt) >= minSilence
+}
+
+// unanswered reports whether a server has sent nothing to this host since a request was sent to it. The mutex must be held.
+func (exchanger *Exchanger) unanswered(run *Run) bool {
+	return run.Incarnation != "" && run.BegunAt.IsZero() && exchanger.history.RespondedAt(run.Incarnation).Before(run.SentAt)
+}
+
 // countSilent counts the servers that have sent nothing to this host since a request was sent to them. Repeats of a request that
 // silenced several are suspended before it shows whether these have crashed. The mutex must be held.
-func (exchanger *Exchanger) countSilent(now time.Time, run *Run) {
-	if run.Incarnation == "" || !run.BegunAt.IsZero() || now.Sub(run.SentAt) < minSilence || !exchanger.history.RespondedAt(run.Incarnation).Before(run.SentAt) {
-		return
-	}
+func (exchanger *Exchanger) countSilent(now time.Time, run *unfinishedRun) {
+	run.silent = true
 	for _, part := range crash.Whole(run.Parts) {
 		known, _ := exchanger.silenced.Get(part)
 		counted := silence{run.Incarnation: now}
@@ -135,6 +178,28 @@
 	}
 }
 
+// countSilentEarlier counts a server that is silent under a request in flight as silent also under the requests before, whose
+// callers may have left too early to tell. The mutex must be held.
+func (exchanger *Exchanger) countSilentEarlier(now time.Time, key string, watched *watch) {
+	silent := false
+	for run := range exchanger.flights[key] {
+		silent = silent || exchanger.silentSince(now, run)
+	}
+	for index := range watched.runs {
+		if run := &watched.runs[index]; silent && !run.silent && exchanger.unanswered(&run.Run) {
+			exchanger.countSilent(now, run)
+		}
+	}
+}
+
+// quiet reports whether a server has sent nothing to this host for minSilence, since the last of the requests was sent to it or
+// longer. The mutex must be held.
+func (exchanger *Exchanger) quiet(now time.Time, watched *watch) bool {
+	return !slices.ContainsFunc(watched.runs, func(run unfinishedRun) bool {
+		return now.Sub(run.SentAt) < minSilence || now.Sub(exchanger.history.RespondedAt(run.Incarnation)) < minSilence
+	})
+}
+
 // watch looks at a server until its state is known, or until its last run ended more than watchTime ago.
 func (exchanger *Exchanger) watch(key string, watched *watch) {
 	for !exchanger.lookAt(key, watched) {
@@ -149,11 +214,11 @@
 // lookAt looks at a server once. It returns true if the watch has ended.
 func (exchanger *Exchanger) lookAt(key string, watched *watch) bool {
 	exchanger.mutex.Lock()
-	look := watched.look
+	look, quiet := watched.look, exchanger.quiet(exchanger.clock(), watched)
 	exchanger.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(exchanger.ctx, callTimeout)
 	defer cancel()
-	state := look(ctx)
+	state := look(ctx, quiet)
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	if exchanger.ctx.Err() != nil {
@@ -162,6 +227,7 @@
 	now := exchanger.clock()
 	watched.runs = slices.DeleteFunc(watched.runs, func(run unfinishedRun) bool { return now.Sub(run.endedAt) >= watchTime })
 	if state == ServerUnknown && len(watched.runs) > 0 {
+		exchanger.countSilentEarlier(now, key, watched)
 		return false
 	}
 	delete(exchanger.watches, key)
--- a/io/block/ending_test.go
+++ b/io/block/ending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,7 +77,7 @@
 			for number := range crash.CrashesToBlock {
 				run := &Run{Server: fmt.Sprint("server-", number), Incarnation: fmt.Sprint("server-", number, "/0"), SentAt: time.Now(), Parts: parts}
 				looks := 0
-				host.Unfinished(time.Now(), run, func(context.Context) ServerState {
+				host.Unfinished(time.Now(), run, func(context.Context, bool) ServerState {
 					looks++
 					return test.states[min(looks, len(test.states))-1]
 				})
@@ -120,7 +121,7 @@
 					host.Progress(sentAt.Add(time.Millisecond), &Run{Server: server, Incarnation: server + "/0", Parts: crash.Parts(nil, "other")})
 				}
 				run := &Run{Server: server, Incarnation: server + "/0", SentAt: sentAt, Parts: parts}
-				host.Unfinished(sentAt.Add(test.waited), run, func(context.Context) ServerState { return ServerUnknown })
+				host.Unfinished(sentAt.Add(test.waited), run, func(context.Context, bool) ServerState { return ServerUnknown })
 			}
 			_, refused := host.Blocked(sentAt.Add(test.waited), parts)
 			is.Equal(refused, test.suspended)
@@ -132,6 +133,53 @@
 	}
 }
 
+// Guards against requests that silence servers and whose callers leave before that shows: other requests in flight there show it.
+func TestRequestsWhoseCallersLeaveEarly(t *testing.T) {
+	for name, test := range map[string]struct {
+		// waits lets another request wait on the servers, and responds makes them respond to others meanwhile.
+		waits, responds bool
+		suspended       bool
+	}{
+		"other callers wait":            {waits: true, suspended: true},
+		"no other caller waits":         {},
+		"the servers respond to others": {waits: true, responds: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			host := newNetwork().join(ctx, "host-1", false)
+			parts := crash.Parts([]string{"shared"}, "digest")
+			var quiet atomic.Bool
+			for number := range silentServers {
+				server := fmt.Sprint("server-", number)
+				sentAt := time.Now()
+				if test.waits {
+					defer host.Sent(&Run{Server: server, Incarnation: server + "/0", SentAt: sentAt, Parts: crash.Parts(nil, server)})()
+				}
+				host.Unfinished(sentAt.Add(minSilence/5), &Run{Server: server, Incarnation: server + "/0", SentAt: sentAt, Parts: parts}, func(_ context.Context, known bool) ServerState {
+					quiet.Store(quiet.Load() || known)
+					return ServerUnknown
+				})
+			}
+			for deadline := time.Now().Add(minSilence + 2*watchInterval); time.Now().Before(deadline); time.Sleep(minSilence / 10) {
+				for number := range silentServers {
+					if server := fmt.Sprint("server-", number); test.responds {
+						host.Responded(time.Now(), &Run{Server: server, Incarnation: server + "/0"})
+					}
+				}
+			}
+			_, refused := host.Blocked(time.Now(), parts)
+			is.Equal(refused, test.suspended)
+			is.Equal(quiet.Load(), !test.responds)
+			_, refused = host.Blocked(time.Now(), crash.Parts([]string{"shared"}, "another"))
+			is.True(!refused)
+			cancel()
+			<-host.Done()
+		})
+	}
+}
+
 // Guards against watches without a bound.
 func TestWatchesAreBounded(t *testing.T) {
 	is := is.New(t)
@@ -140,7 +188,7 @@
 	for number := range 2 * maxChecks {
 		for range 2 * maxReportRequests {
 			server := fmt.Sprint("server-", number)
-			host.Unfinished(time.Now(), &Run{Server: server, Parts: crash.Parts(nil, server)}, func(context.Context) ServerState { return ServerUnknown })
+			host.Unfinished(time.Now(), &Run{Server: server, Parts: crash.Parts(nil, server)}, func(context.Context, bool) ServerState { return ServerUnknown })
 		}
 	}
 	host.mutex.Lock()
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -143,7 +143,7 @@
 
 // watch finds out whether the server of a request that has not been completed has crashed.
 func (gate *Gate) watch(run *block.Run, address string) {
-	gate.node.Blocks().Unfinished(time.Now(), run, func(context.Context) block.ServerState {
+	gate.node.Blocks().Unfinished(time.Now(), run, func(context.Context, bool) block.ServerState {
 		if errors.Is(connect(address), syscall.ECONNREFUSED) {
 			return block.ServerCrashed
 		}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -273,6 +273,7 @@
 	defer cancel()
 	call.sentAt = clock.Now()
 	call.run = &block.Run{Server: server.ID, Incarnation: fmt.Sprintf("%s/%d", server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
+	defer call.service.coordinator.Blocks().Sent(call.run)()
 	call.resumed = call.lastEvent != ""
 	call.servers = append(call.servers, server.ID)
 	response, err := call.service.links.Do(ctx, server, call.outgoing(server, call.lastEvent))
@@ -280,6 +281,7 @@
 		return call.handleSendError(server, err)
 	}
 	defer response.Close()
+	call.service.coordinator.Blocks().Responded(clock.Now(), call.run)
 	info := call.service.dialect.DecodeResponse(response.Status(), response.Header())
 	call.service.coordinator.RecordNotices(server, info)
 	switch {
@@ -402,12 +404,12 @@
 	call.watch(server, call.ctx.Err() == nil)
 }
 
-// watch looks out for a crash of the server of a request that has not been completed. If the server has just responded, it
-// should accept connections.
+// watch looks out for a crash of the server of a request that has not been completed. If the server has just responded, or is
+// quiet, it should accept connections.
 func (call *call) watch(server spec.Server, responded bool) {
 	service := call.service
-	call.service.coordinator.Blocks().Unfinished(clock.Now(), call.run, func(ctx context.Context) block.ServerState {
-		connect := responded
+	call.service.coordinator.Blocks().Unfinished(clock.Now(), call.run, func(ctx context.Context, quiet bool) block.ServerState {
+		connect := responded || quiet
 		responded = false
 		return service.lookAtServer(ctx, server, connect)
 	})
