Requests that their callers have left count if their servers crash within 3 s

Change: a server counts as having outlived a request whose caller has left once it has responded to others 3 s after, the usual time limit of requests. From 250 ms on, the request counts as a whole only, not its prompt parts and its adapter, so that sound requests beside it are served: requests that callers give up under load share them. A response after an inferred crash was discovered still shows that there was none.

Tests: 'crashed after responses' and 'server responded later' expected the fault, with responses 400 and 700 ms after the request. They now expect a suspect; the same with responses later than 3 s, after the discovery, and with shared parts expect none. 'crashed after responses' and 'server responded while it may have gone on with the request' fail without the change.

--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -24,6 +24,9 @@
 	evidenceTime = RefusalDuration
 	// AliveSlack is how long after its crash bytes that a server sent before may be read.
 	AliveSlack = 250 * time.Millisecond
+	// AbandonedTime is how long after its caller has left a server may go on with a request while it responds to others: the
+	// usual time limit of requests.
+	AbandonedTime = 3 * time.Second
 	// sentSlack is how much later than its crash a request that was in flight there may seem to have been sent: reports of several
 	// hosts take different times. Requests that were sent later, up to AliveSlack, count less: most of them were sent after the crash.
 	sentSlack = 50 * time.Millisecond
@@ -53,6 +56,8 @@
 	// inferred reports whether the crash only showed later. Then at is the last time at which a request on the server ended.
 	inferred bool
 	at       time.Time
+	// foundAt is when the crash was first recorded.
+	foundAt  time.Time
 	requests []Request
 	size     int
 }
@@ -114,7 +119,7 @@
 		return known, true
 	}
 	analyzer.prune(now)
-	known = &evidence{server: server, known: incarnation != "", at: at}
+	known = &evidence{server: server, known: incarnation != "", at: at, foundAt: now}
 	analyzer.crashes[key] = known
 	return known, false
 }
@@ -193,10 +198,22 @@
 	analyzer.sightings = kept
 }
 
-// ObserveServer records when a server incarnation last responded. If that was after its crash, there was no crash.
+// ObserveServer records when a server incarnation last responded. If that was after its crash, there was no crash. If it was
+// between the last request and the discovery of an inferred crash, the server may still have run one of the requests then. That
+// counts against these requests as a whole only, since their parts are those of all requests that callers have given up.
 func (analyzer *Analyzer) ObserveServer(incarnation string, respondedAt time.Time) {
-	if known := analyzer.crashes[incarnation]; known != nil && known.known && respondedAt.After(known.at.Add(AliveSlack)) {
+	known := analyzer.crashes[incarnation]
+	if known == nil || !known.known || !respondedAt.After(known.at.Add(AliveSlack)) {
+		return
+	}
+	if !known.inferred || respondedAt.After(known.at.Add(AbandonedTime)) || respondedAt.After(known.foundAt.Add(AliveSlack)) {
 		delete(analyzer.crashes, incarnation)
+		return
+	}
+	requests := known.requests
+	known.requests, known.size = nil, 0
+	for _, request := range requests {
+		known.add(Request{Parts: Whole(request.Parts), SentAt: request.SentAt})
 	}
 }
 
--- a/core/crash/analyzer_test.go
+++ b/core/crash/analyzer_test.go
@@ -392,8 +392,16 @@
 			analyzer.ObserveServer(server, at(2050))
 		}, true},
 		"server responded later": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
+			analyzer.RecordInferred(at(9000), at(2300), server, server, culprit)
+			analyzer.ObserveServer(server, at(2301).Add(AbandonedTime))
+		}, false},
+		"server responded while it may have gone on with the request": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
 			analyzer.RecordInferred(at(9000), at(2300), server, server, culprit)
 			analyzer.ObserveServer(server, at(3000))
+		}, true},
+		"server responded after the discovery": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
+			analyzer.RecordInferred(at(2600), at(2300), server, server, culprit)
+			analyzer.ObserveServer(server, at(2601).Add(AliveSlack))
 		}, false},
 		"seen by another host": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, other []Request) {
 			analyzer.RecordInferred(at(9000), at(8000), server, server, culprit)
@@ -418,3 +426,27 @@
 		})
 	}
 }
+
+// Guards against prompt parts that are blocked because callers gave up requests with them on servers that crashed later, after
+// responses to others.
+func TestAbandonedRequestsCountAsAWholeOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		respondedAt int
+		blocked     bool
+	}{
+		"no response since": {2200, true}, "a response since": {3000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			analyzer := NewAnalyzer()
+			for number := range CrashesToBlock {
+				at := func(milliseconds int) time.Time { return at(number*5000 + milliseconds) }
+				server := fmt.Sprint("s", number)
+				analyzer.RecordInferred(at(4000), at(2300), server, server, []Request{{Parts: Parts([]string{"a"}, server), SentAt: at(2250)}})
+				analyzer.ObserveServer(server, at(test.respondedAt))
+			}
+			blocks := analyzer.Decide(at(20_000), nil)
+			is.Equal(len(blocks) == 1 && blocks[0].Refuses(Parts([]string{"a"}, "another")), test.blocked)
+		})
+	}
+}
--- a/io/block/ending.go
+++ b/io/block/ending.go
@@ -235,10 +235,16 @@
 		return true
 	}
 	for _, run := range watched.runs {
-		// A server that has responded to others since has outlived the request.
-		if !exchanger.history.RespondedAt(run.Incarnation).After(run.endedAt.Add(crash.AliveSlack)) {
-			exchanger.broken(run.endedAt, &run.Run, true)
+		switch respondedAt := exchanger.history.RespondedAt(run.Incarnation); {
+		case respondedAt.After(run.endedAt.Add(crash.AbandonedTime)):
+			// The server has outlived the request.
+			continue
+		case respondedAt.After(run.endedAt.Add(crash.AliveSlack)):
+			// The server may have gone on with the request. The parts that others share do not count: those of all requests that
+			// callers have given up would be suspects.
+			run.Parts = crash.Whole(run.Parts)
 		}
+		exchanger.broken(run.endedAt, &run.Run, true)
 	}
 	return true
 }
--- a/io/block/ending_test.go
+++ b/io/block/ending_test.go
@@ -58,35 +58,47 @@
 	for name, test := range map[string]struct {
 		// states are the results of the looks at each server; the last one is repeated.
 		states []ServerState
-		// responds makes the server respond to another request afterwards.
-		responds bool
-		blocked  bool
+		// responds is how long after the end of the request the server responds to another one, or zero.
+		responds time.Duration
+		// shared makes different requests of those that share a part.
+		shared  bool
+		blocked bool
 	}{
-		"crashed":                 {[]ServerState{ServerCrashed}, false, true},
-		"crashed later":           {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, false, true},
-		"crashed after responses": {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, true, false},
-		"sound":                   {[]ServerState{ServerSound, ServerCrashed}, false, false},
-		"unknown":                 {[]ServerState{ServerUnknown}, false, false},
+		"crashed":                          {[]ServerState{ServerCrashed}, 0, false, true},
+		"crashed later":                    {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, 0, false, true},
+		"crashed after responses":          {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, crash.SettleTime, false, true},
+		"crashed long after":               {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, crash.AbandonedTime + time.Millisecond, false, false},
+		"shared, crashed":                  {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, 0, true, true},
+		"shared, crashed after a response": {[]ServerState{ServerUnknown, ServerUnknown, ServerCrashed}, crash.SettleTime, true, false},
+		"sound":                            {[]ServerState{ServerSound, ServerCrashed}, 0, false, false},
+		"unknown":                          {[]ServerState{ServerUnknown}, 0, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			host := newNetwork().join(ctx, "host-1", false)
-			parts := crash.Parts(nil, "digest")
+			parts := crash.Parts([]string{"shared"}, "digest")
 			for number := range crash.CrashesToBlock {
+				if test.shared {
+					parts = crash.Parts([]string{"shared"}, fmt.Sprint(number))
+				}
+				endedAt := time.Now()
 				run := &Run{Server: fmt.Sprint("server-", number), Incarnation: fmt.Sprint("server-", number, "/0"), SentAt: time.Now(), Parts: parts}
 				looks := 0
-				host.Unfinished(time.Now(), run, func(context.Context, bool) ServerState {
+				host.Unfinished(endedAt, run, func(context.Context, bool) ServerState {
 					looks++
 					return test.states[min(looks, len(test.states))-1]
 				})
 				time.Sleep(crash.SettleTime)
-				if test.responds {
-					host.Progress(time.Now(), &Run{Server: run.Server, Incarnation: run.Incarnation, Parts: crash.Parts(nil, "other")})
+				if test.responds > 0 {
+					host.Responded(endedAt.Add(test.responds), run)
 				}
 			}
 			time.Sleep(4*watchInterval + crash.SettleTime)
+			if test.shared {
+				parts = crash.Parts([]string{"shared"}, "another")
+			}
 			_, blocked := host.Blocked(time.Now(), parts)
 			is.Equal(blocked, test.blocked)
 			cancel()
