Servers are asked for a report before a verdict on what crashed them

Two servers had crashed under the part at fault beside another part. A third one, which stuttered, had cut off a response to a sound request with that other part; it had not crashed, but was avoided afterwards, so that no response showed it. The part had three crashes and was blocked.

Change: before a verdict, a host asks the servers that seem to have crashed for their reports, if they run models and take requests. One that answers as the same incarnation has not crashed. A server that has restarted answers as another one, so that crashes still count. Plain servers have no reports; theirs count as before.

Tests: TestServersAreProbedBeforeAVerdict, 'a server responds', fails without the change.

--- a/io/block/block.go
+++ b/io/block/block.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -115,6 +116,11 @@
 	survived bool
 }
 
+// Incarnation returns the identity of an incarnation of a server that was started at a time.
+func Incarnation(server string, startedMillis int64) string {
+	return fmt.Sprintf("%s/%d", server, startedMillis)
+}
+
 // key identifies the server's incarnation.
 func (run *Run) key() string { return run.Server + "\x00" + run.Incarnation }
 
@@ -128,6 +134,7 @@
 	log     logr.Logger
 	metrics tally.Scope
 	store   Store
+	probe   Probe
 	// stopped is closed when no goroutine of the exchanger runs any more after the context was cancelled.
 	stopped    chan struct{}
 	goroutines goroutines
@@ -190,11 +197,18 @@
 // WithStore sets the store that keeps verdicts. By default only hosts keep them.
 func WithStore(store Store) Option { return func(exchanger *Exchanger) { exchanger.store = store } }
 
+// Probe reports whether an incarnation of a server responds now. It returns false if that is not known.
+type Probe func(ctx context.Context, incarnation string) bool
+
+// WithProbe sets the function that finds out before a verdict whether the servers that seem to have crashed respond.
+func WithProbe(probe Probe) Option { return func(exchanger *Exchanger) { exchanger.probe = probe } }
+
 // New returns the exchanger of a host. The function peers returns the IP:port addresses of the other hosts by name.
 // Cancelling the context ends its goroutines.
 func New(ctx context.Context, host string, call Call, peers func() map[string]string, options ...Option) *Exchanger {
 	exchanger := &Exchanger{
 		ctx: ctx, host: host, call: call, peers: peers, clock: time.Now, log: logr.Discard(), metrics: tally.NoopScope, store: noStore{},
+		probe:   func(context.Context, string) bool { return false },
 		stopped: make(chan struct{}), history: crash.NewHistory(), analyzer: crash.NewAnalyzer(), list: crash.NewBlocklist(), pending: map[string]*pendingReport{},
 		watches: map[string]*watch{}, flights: map[string]map[*Run]struct{}{}, silenced: value.NewRecent[crash.Part, silence](maxSilenced),
 		limiter: rate.NewLimiter(reportRate, reportBurst),
--- a/io/block/try_test.go
+++ b/io/block/try_test.go
@@ -136,3 +136,29 @@
 		<-host.Done()
 	}
 }
+
+// Guards against sound parts that are blocked because servers closed connections without having crashed, and are avoided since, so
+// that no response shows it.
+func TestServersAreProbedBeforeAVerdict(t *testing.T) {
+	for name, responds := range map[string]bool{"a server responds": true, "no server responds": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			host := New(ctx, "host-1", nil, func() map[string]string { return nil }, WithProbe(func(_ context.Context, incarnation string) bool {
+				return responds && incarnation == Incarnation("server-0", 0)
+			}))
+			for number := range crash.CrashesToBlock {
+				server := fmt.Sprint("server-", number)
+				host.Broken(time.Now(), &Run{
+					Server: server, Incarnation: Incarnation(server, 0), SentAt: time.Now(), Parts: crash.Parts([]string{crashPart}, server),
+				})
+				time.Sleep(2 * crash.AliveSlack)
+			}
+			time.Sleep(2 * crash.SettleTime)
+			is.Equal(blocks(host), !responds)
+			cancel()
+			<-host.Done()
+		})
+	}
+}
--- a/io/block/verdict.go
+++ b/io/block/verdict.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -53,8 +54,8 @@
 	exchanger.spawn(wait, exchanger.check)
 }
 
-// check asks other hosts about the suspects and blocks those that have not run without a crash on any. It asks a few hosts
-// first, which suffices for parts that are in common use.
+// check asks other hosts about the suspects, and then the servers, and blocks the suspects that have not run without a crash on
+// any. It asks a few hosts first, which suffices for parts that are in common use.
 func (exchanger *Exchanger) check() {
 	exchanger.mutex.Lock()
 	exchanger.checkAt, exchanger.checking, exchanger.queriedAt = time.Time{}, true, exchanger.clock()
@@ -66,9 +67,28 @@
 			exchanger.query(some, params)
 		}
 	}
+	exchanger.probeServers(exchanger.questions().Incarnations)
 	exchanger.decide()
 }
 
+// probeServers finds out which servers that seem to have crashed respond. One that is avoided because of broken responses gets
+// no requests that would show it.
+func (exchanger *Exchanger) probeServers(incarnations []string) {
+	exchanger.each(incarnations, func(incarnation string) {
+		ctx, cancel := context.WithTimeout(exchanger.ctx, callTimeout)
+		defer cancel()
+		askedAt := exchanger.clock()
+		if !exchanger.probe(ctx, incarnation) {
+			return
+		}
+		exchanger.mutex.Lock()
+		defer exchanger.mutex.Unlock()
+		exchanger.log.Info("server that broke off requests has not crashed", "life", incarnation)
+		exchanger.history.Responded(askedAt, incarnation)
+		exchanger.analyzer.ObserveServer(incarnation, askedAt)
+	})
+}
+
 // questions returns the questions about the suspects that remain after what this host has seen itself.
 func (exchanger *Exchanger) questions() QueryParams {
 	exchanger.mutex.Lock()
--- a/io/coord/crashes.go
+++ b/io/coord/crashes.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -17,7 +18,26 @@
 func newBlocks(coordinator *Coordinator) (*block.Exchanger, *block.Rows) {
 	rows := block.NewRows(lease.Table+"/"+prefixBlock, coordinator.store.Commit, coordinator.log)
 	return block.New(coordinator.ctx, coordinator.settings.Host.Name, coordinator.peers.Call, coordinator.traffic.peerAddresses,
-		block.WithClock(clock.Now), block.WithLog(coordinator.log), block.WithMetrics(coordinator.metrics), block.WithStore(rows)), rows
+		block.WithClock(clock.Now), block.WithLog(coordinator.log), block.WithMetrics(coordinator.metrics), block.WithStore(rows),
+		block.WithProbe(coordinator.responds)), rows
+}
+
+// responds reports whether a server that runs a model answers a request for its report as the given incarnation.
+func (coordinator *Coordinator) responds(ctx context.Context, incarnation string) bool {
+	view := coordinator.View()
+	server, found := view.Servers[incarnation[:max(0, strings.LastIndex(incarnation, "/"))]]
+	if !found || block.Incarnation(server.ID, server.StartedMillis) != incarnation {
+		return false
+	}
+	if server.Draining || server.Evacuated || coordinator.traffic.Wait(clock.Now(), server.Incarnation()) > 0 {
+		// It wants no requests for reports either.
+		return false
+	}
+	if service, known := view.Config.Service(server.Service); !known || service.Engine == nil {
+		return false
+	}
+	report, err := coordinator.orders.Report(ctx, server)
+	return err == nil && report.StartedMillis == server.StartedMillis
 }
 
 // Blocks returns the blocks of requests that crash backend servers.
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -272,7 +271,7 @@
 	ctx, cancel := context.WithCancel(call.ctx)
 	defer cancel()
 	call.sentAt = clock.Now()
-	call.run = &block.Run{Server: server.ID, Incarnation: fmt.Sprintf("%s/%d", server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
+	call.run = &block.Run{Server: server.ID, Incarnation: block.Incarnation(server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
 	defer call.service.coordinator.Blocks().Sent(call.run)()
 	call.resumed = call.lastEvent != ""
 	call.servers = append(call.servers, server.ID)
