--- a/core/crash/analyzer_test.go
+++ b/core/crash/analyzer_test.go
@@ -101,6 +101,30 @@
 				crashed(2000, "s3", request(1900, "bad"), request(1950, "rare")), crashed(2500, "s4", request(2400, "bad"), request(2400, "rare")),
 			}, 9000, [][]string{{"bad"}},
 		},
+		"a request to a server that had just crashed": {
+			[]step{
+				crashed(1000, "s1", request(900, "a", "bad", "b")), begun(1500, "a"), crashed(2000, "s2", request(1900, "a", "bad", "b")),
+				crashed(3000, "s3", request(2900, "a", "bad", "c"), request(2950, "a", "bad", "d"), request(3187, "a", "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"requests to servers that had just crashed, at more crashes": {
+			[]step{
+				crashed(500, "s0", request(450, "b")), crashed(1000, "s1", request(900, "a", "bad", "b")), begun(1500, "a"),
+				crashed(2000, "s2", request(1900, "a", "bad"), request(2100, "a", "b")), crashed(3000, "s3", request(2900, "a", "bad"), request(3187, "a", "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"reports that take different times": {
+			[]step{
+				crashed(1000, "s1", request(950, "a"), request(1040, "bad", "b")), crashed(2000, "s2", request(1950, "a"), request(2040, "bad", "b")),
+				crashed(3000, "s3", request(2950, "c"), request(3040, "bad"), request(3187, "b")),
+			}, 9000, [][]string{{"bad"}},
+		},
+		"requests that always seem to be sent after the crash": {
+			[]step{
+				crashed(1000, "s1", request(950, "a"), request(1200, "bad")), crashed(2000, "s2", request(1950, "b"), request(2200, "bad")),
+				crashed(3000, "s3", request(2950, "c"), request(3200, "bad")),
+			}, 9000, [][]string{{"bad"}},
+		},
 		"another crash beside": {
 			[]step{
 				crashed(500, "s0", request(400, "a")), crashed(1000, "s1", request(900, "a", "bad"), request(900, "a")),
@@ -368,8 +392,16 @@
 			analyzer.ObserveServer(server, at(2050))
 		}, true},
 		"server responded later": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
+			analyzer.RecordInferred(at(9000), at(2300), server, server, culprit)
+			analyzer.ObserveServer(server, at(2301).Add(AbandonedTime))
+		}, false},
+		"server responded while it may have gone on with the request": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
 			analyzer.RecordInferred(at(9000), at(2300), server, server, culprit)
 			analyzer.ObserveServer(server, at(3000))
+		}, true},
+		"server responded after the discovery": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, _ []Request) {
+			analyzer.RecordInferred(at(2600), at(2300), server, server, culprit)
+			analyzer.ObserveServer(server, at(2601).Add(AliveSlack))
 		}, false},
 		"seen by another host": {func(analyzer *Analyzer, server string, at func(int) time.Time, culprit, other []Request) {
 			analyzer.RecordInferred(at(9000), at(8000), server, server, culprit)
@@ -394,3 +426,27 @@
 		})
 	}
 }
+
+// Guards against prompt parts that are blocked because callers gave up requests with them on servers that crashed later, after
+// responses to others.
+func TestAbandonedRequestsCountAsAWholeOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		respondedAt int
+		blocked     bool
+	}{
+		"no response since": {2200, true}, "a response since": {3000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			analyzer := NewAnalyzer()
+			for number := range CrashesToBlock {
+				at := func(milliseconds int) time.Time { return at(number*5000 + milliseconds) }
+				server := fmt.Sprint("s", number)
+				analyzer.RecordInferred(at(4000), at(2300), server, server, []Request{{Parts: Parts([]string{"a"}, server), SentAt: at(2250)}})
+				analyzer.ObserveServer(server, at(test.respondedAt))
+			}
+			blocks := analyzer.Decide(at(20_000), nil)
+			is.Equal(len(blocks) == 1 && blocks[0].Refuses(Parts([]string{"a"}, "another")), test.blocked)
+		})
+	}
+}
