Cold servers get less with learned costs, too

Once costs had been learned, the expected time of a request on a server ignored its cold time, so that a cold server got as much as the others. The new test fails without the change.

--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -172,10 +172,10 @@
 		candidate := &candidates[index]
 		estimate := scheduler.costs.On(candidate.server.ID, forecast)
 		if service.Engine == nil {
-			candidate.expected = scheduler.plainCost(now, candidate, estimate)
+			candidate.expected = scheduler.plainCost(now, service, candidate, estimate)
 			continue
 		}
-		candidate.expected = engineCost(now, service, candidate, estimate, job)
+		candidate.expected = scheduler.engineCost(now, service, candidate, estimate, job)
 		slots := time.Duration(max(1, candidate.server.Slots))
 		candidate.own = estimate.Work / slots
 		candidate.work = candidate.state.remainingWork(now, estimate.Work) / slots
@@ -184,7 +184,7 @@
 
 // plainCost returns a measure of the load of a server that runs no models: the work by slot, with the request's own. The time to
 // the request's end would be a worse one: with load data that are old, all hosts then fill up the fast servers first.
-func (scheduler *Scheduler) plainCost(now time.Time, candidate *candidate, estimate cost.Estimate) time.Duration {
+func (scheduler *Scheduler) plainCost(now time.Time, service spec.Service, candidate *candidate, estimate cost.Estimate) time.Duration {
 	running := candidate.state.usage(now).Running
 	remaining := candidate.state.remainingWork(now, estimate.Work)
 	slots := max(1, candidate.server.Slots)
@@ -193,6 +193,7 @@
 	if candidate.server.DataCentre != scheduler.dataCentre {
 		load += remotePenalty * estimate.Work
 	}
+	load += time.Duration(scheduler.gate.Cold(now, service, candidate.server) * coldSlots * float64(slots) * float64(estimate.Work))
 	expected := (estimate.Work + load) / time.Duration(slots)
 	if over := running + 1 - slots; over > 0 {
 		// A server whose slots are all in use may reject the request.
@@ -202,9 +203,10 @@
 }
 
 // engineCost returns the expected time to the first token of a request to a server that runs models.
-func engineCost(now time.Time, service spec.Service, candidate *candidate, estimate cost.Estimate, job Job) time.Duration {
+func (scheduler *Scheduler) engineCost(now time.Time, service spec.Service, candidate *candidate, estimate cost.Estimate, job Job) time.Duration {
 	usage := candidate.state.usage(now)
 	expected := baseLatency + candidate.state.tokenTime*time.Duration(usage.Backlog+job.PromptTokens)
+	expected += time.Duration(scheduler.gate.Cold(now, service, candidate.server) * float64(coldPenalty))
 	slots := max(1, candidate.server.Slots)
 	if over := usage.Running + 1 - slots; over > 0 {
 		// The excess requests wait until as many others have ended.
--- a/core/sched/cost_test.go
+++ b/core/sched/cost_test.go
@@ -9,6 +9,7 @@
 
 	"lentilproxy/core/cost"
 	"lentilproxy/core/spec"
+	"lentilproxy/core/warm"
 
 	"github.com/matryer/is"
 )
@@ -17,7 +18,7 @@
 
 // learned returns a scheduler that knows two routes of streams, long ones of 50 events and short ones of 5, all with the same
 // announced tokens, and two routes of plain requests of 1 s and 20 ms.
-func learned(all map[string]spec.Server) *Scheduler {
+func learned(all map[string]spec.Server, options ...Option) *Scheduler {
 	predictor := cost.New()
 	for range cost.MinObservations {
 		for route, events := range map[string]int{"long": 50, "short": 5} {
@@ -27,7 +28,7 @@
 		predictor.Observe("x", cost.Request{Route: "slow"}, cost.Observed{Duration: time.Second})
 		predictor.Observe("x", cost.Request{Route: "quick"}, cost.Observed{Duration: 20 * time.Millisecond})
 	}
-	scheduler := New("dc-0", WithCosts(predictor))
+	scheduler := New("dc-0", append(options, WithCosts(predictor))...)
 	scheduler.UpdateServers(all)
 	for name := range all {
 		scheduler.SetLoaded(name, 0, Loaded{Model: "m", Orderable: true, Adapters: map[string]int64{"a": 1}})
@@ -56,6 +57,45 @@
 	is.Equal(choice.Server.ID, first.Server.ID)
 }
 
+// Guards against cold servers that get as much as others once costs have been learned.
+func TestColdServersGetLessWithLearnedCosts(t *testing.T) {
+	for _, test := range []struct {
+		service spec.Service
+		job     Job
+	}{
+		{chat, Job{Ref: adapter, Route: "short", OutputTokens: 275}},
+		{orders, Job{Route: "quick"}},
+	} {
+		t.Run(test.service.Name, func(t *testing.T) {
+			is := is.New(t)
+			all := servers(test.service.Name, 2)
+			cold := all[test.service.Name+"-0"]
+			cold.ColdUntil = start.Add(10 * time.Second)
+			all[cold.ID] = cold
+			gate := warm.New("host-1")
+			gate.Update(start, all)
+			scheduler := learned(all, WithGate(gate))
+			counts := func(now time.Time) int {
+				count := 0
+				var runs []*Run
+				for range 12 {
+					choice, _ := scheduler.Choose(now, test.service, all, test.job)
+					if choice.Server.ID == cold.ID {
+						count++
+					}
+					runs = append(runs, scheduler.Start(now, choice.Server, test.job))
+				}
+				for _, run := range runs {
+					scheduler.End(run)
+				}
+				return count
+			}
+			atStart, atEnd := counts(start), counts(start.Add(10*time.Second))
+			is.True(atStart < atEnd)
+		})
+	}
+}
+
 // Guards against memory that is reserved at the announced maximum although requests generate less, and against too little for a
 // run that turns out longer than expected.
 func TestReservedMemory(t *testing.T) {
