Loans that no request waits for come from near hosts

A host can now name hosts that are asked first; waiting requests still ask any host. Nothing uses it yet.

--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lentilproxy/core/value"
 )
 
 const (
@@ -91,6 +93,8 @@
 	accounts     map[string]*account
 	// overdraft is how far below zero an account may go.
 	overdraft float64
+	// near holds the hosts that are asked first for loans that no waiting request needs; all hosts are if it is empty.
+	near value.Set[string]
 }
 
 // Option configures a limiter.
@@ -106,6 +110,10 @@
 // their overdrafts, since overdrawn tokens have to accrue before more can be charged.
 func (limiter *Limiter) SetOverdraft(tokens float64) { limiter.overdraft = tokens }
 
+// SetNear sets the hosts that are asked first for loans that no waiting request needs, such as those of the own data centre. Waiting
+// requests ask any host.
+func (limiter *Limiter) SetNear(hosts value.Set[string]) { limiter.near = hosts }
+
 // New returns the limiter of a host, with all accounts empty.
 func New(host string, options ...Option) *Limiter {
 	limiter := &Limiter{host: host, limits: map[string]Entitlement{}, accounts: map[string]*account{}}
--- a/core/limit/requests.go
+++ b/core/limit/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -54,14 +55,19 @@
 }
 
 // chooseLenders returns the lenders to ask for more: as many as together hold the rate, or the tokens that a request
-// needs if their accounts are half full, and one more. It rotates through the candidates from call to call.
+// needs if their accounts are half full, and one more. It rotates through the candidates from call to call. Without a waiting
+// request, near hosts are chosen only: with 85 hosts in four data centres, most messages about loans went to other data centres.
 func (limiter *Limiter) chooseLenders(candidates []string, rate, need float64, limit Entitlement) map[string]bool {
 	chosen := map[string]bool{}
 	if rate <= 0 && need <= 0 {
 		return chosen
 	}
 	fraction := max(rate/limit.Rate, 2*need/limit.Burst)
-	for range min(len(candidates), int(math.Ceil(fraction*float64(len(candidates))))+1) {
+	count := int(math.Ceil(fraction*float64(len(candidates)))) + 1
+	if need <= 0 && len(limiter.near) > 0 {
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return name == limiter.host || !limiter.near.Has(name) })
+	}
+	for range min(len(candidates), count) {
 		limiter.lenderCursor++
 		chosen[candidates[limiter.lenderCursor%len(candidates)]] = true
 	}
--- a/core/limit/requests_test.go
+++ b/core/limit/requests_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"lentilproxy/core/value"
+
 	"github.com/matryer/is"
 )
 
@@ -127,3 +129,51 @@
 		})
 	}
 }
+
+// Guards against messages to other data centres for loans that no request waits for, and against requests that wait for tokens which
+// only hosts of other data centres have.
+func TestNearHostsAreAskedFirst(t *testing.T) {
+	is := is.New(t)
+	const hosts, near = 80, 20
+	var names []string
+	lenders, nearby := map[string]*Limiter{}, value.NewSet[string]()
+	for number := range hosts {
+		name := fmt.Sprint("host-", number)
+		lenders[name] = New(name, WithOpenTime(epoch))
+		lenders[name].Configure(epoch, map[string]Entitlement{"w": {Rate: 80_000, Burst: 80_000, Fraction: 1.0 / hosts}})
+		lenders[name].Fill(epoch, "w")
+		names = append(names, name)
+		if number < near {
+			nearby.Add(name)
+		}
+	}
+	borrower := lenders["host-0"]
+	borrower.SetNear(nearby)
+	asked := func(now time.Time) (local, remote int) {
+		for _, request := range borrower.LoanRequests(now, func(string) []string { return names }) {
+			if nearby.Has(request.Lender) {
+				local++
+			} else {
+				remote++
+			}
+			borrower.Credit(now, now, lenders[request.Lender].Lend(now, "host-0", request))
+		}
+		return local, remote
+	}
+	now := epoch
+	for range 10 { // 1,500 tokens a second, of which the own share gives 1,000
+		borrower.Demand(now, "w", 150)
+		_, outcome := borrower.Charge(now, "w", 150)
+		is.Equal(outcome, Charged)
+		_, remote := asked(now)
+		is.Equal(remote, 0)
+		now = now.Add(100 * time.Millisecond)
+	}
+	borrower.Demand(now, "w", 30_000)
+	_, outcome := borrower.Charge(now, "w", 30_000)
+	is.Equal(outcome, Insufficient)
+	_, remote := asked(now.Add(maxRequestInterval))
+	is.True(remote > 0)
+	_, outcome = borrower.Charge(now.Add(maxRequestInterval), "w", 30_000)
+	is.Equal(outcome, Charged)
+}
