Gossip within data centres, with relays between them

Above 40 hosts in at least two data centres, a host exchanges gossip messages with the hosts of its own data centre only. Two relays of each data centre exchange its summed usage and its loaded adapters with those of the others every 0.4 s, as changes of records, and pass on what they have. Up to 40 hosts the messages are the same as before.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -51,8 +51,11 @@
 }
 
 // Period returns the time between two exchanges with the same peer.
-func (schedule *Schedule) Period() time.Duration {
-	return schedule.interval * time.Duration(max(1, (len(schedule.peers)+schedule.maxCalls-1)/schedule.maxCalls))
+func (schedule *Schedule) Period() time.Duration { return schedule.PeriodOf(len(schedule.peers)) }
+
+// PeriodOf returns the time between two exchanges with the same peer of a host with a number of peers.
+func (schedule *Schedule) PeriodOf(peers int) time.Duration {
+	return schedule.interval * time.Duration(max(1, (peers+schedule.maxCalls-1)/schedule.maxCalls))
 }
 
 // Due returns the peers to call now, starting with those that are most overdue.
--- a/core/limit/membership.go
+++ b/core/limit/membership.go
@@ -32,6 +32,8 @@
 	self     string
 	rows     value.Set[string]
 	messages map[string]peerMessage
+	// counts holds the largest number of members that the hosts of other data centres count, as their relays have stated it.
+	counts map[string]peerMessage
 	// ackedAt is when the last message to which each host has responded was sent.
 	ackedAt map[string]time.Time
 	// lastMemberAt is when each host was last counted as a member.
@@ -56,7 +58,7 @@
 // NewMembership returns the membership of a host, without any members; the host itself does not count yet.
 func NewMembership(self string) *Membership {
 	return &Membership{
-		self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{},
+		self: self, rows: value.NewSet[string](), messages: map[string]peerMessage{}, counts: map[string]peerMessage{}, ackedAt: map[string]time.Time{}, lastMemberAt: map[string]time.Time{},
 		formerAt: map[string]time.Time{},
 	}
 }
@@ -80,6 +82,11 @@
 	membership.messages[host] = peerMessage{at: now, members: members}
 }
 
+// RecordCount records the largest number of members that a host of another data centre counts. It adds no member.
+func (membership *Membership) RecordCount(now time.Time, dataCentre string, members int) {
+	membership.counts[dataCentre] = peerMessage{at: now, members: members}
+}
+
 // RecordAck records that another host has responded to a message sent at sentAt.
 func (membership *Membership) RecordAck(sentAt time.Time, host string) {
 	membership.ackedAt[host] = sentAt
@@ -128,6 +135,12 @@
 	for _, last := range membership.messages {
 		count = max(count, last.members)
 	}
+	for _, last := range membership.counts {
+		// The loss of contact with a data centre must not make the share of this host larger.
+		if now.Sub(last.at) < knownHostTTL {
+			count = max(count, last.members)
+		}
+	}
 	return count
 }
 
--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -143,10 +143,10 @@
 // replace those that have ended.
 func (state *serverState) remainingWork(now time.Time, each time.Duration) time.Duration {
 	work, known := state.ownWork(now)
-	for _, peer := range state.peers {
-		if now.Sub(peer.at) < usageLifetime && peer.usage.WorkMillis > 0 {
-			work += time.Duration(peer.usage.WorkMillis) * time.Millisecond
-			known += peer.usage.Running
+	for _, usage := range state.reported(now) {
+		if usage.WorkMillis > 0 {
+			work += time.Duration(usage.WorkMillis) * time.Millisecond
+			known += usage.Running
 		}
 	}
 	running := state.usage(now).Running
--- a/core/sched/cost_test.go
+++ b/core/sched/cost_test.go
@@ -104,12 +104,12 @@
 	is.Equal(state.remainingWork(start, time.Second), time.Second)
 	other.SetPeerUsage(start, "new", map[string]Usage{"chat-0": {Running: 1, WorkMillis: 700}})
 	is.Equal(state.remainingWork(start, time.Second), 1700*time.Millisecond)
-	is.Equal(state.remainingWork(start.Add(usageLifetime), time.Second), time.Duration(0))
+	is.Equal(state.remainingWork(start.Add(UsageLifetime), time.Second), time.Duration(0))
 
 	// A plain request of an unknown route costs something as well.
 	other.Start(start, all["chat-0"], Job{Route: "new"})
 	is.Equal(other.UsageWithWork(start)["chat-0"].WorkMillis, int64(0))
-	is.Equal(state.remainingWork(start.Add(usageLifetime), time.Second), 500*time.Millisecond)
+	is.Equal(state.remainingWork(start.Add(UsageLifetime), time.Second), 500*time.Millisecond)
 }
 
 // Guards against a plain request that is sent to a server whose slots are all in use while another one has room, although the
--- /dev/null
+++ b/core/sched/region.go
@@ -0,0 +1,69 @@
+package sched
+
+import (
+	"time"
+
+	"lentilproxy/core/value"
+)
+
+// regionUsage is the load that the hosts of another data centre put on a server, as one of its relays has stated it.
+type regionUsage struct {
+	usage Usage
+	until time.Time
+}
+
+// SetRegionUsage replaces the usage of the hosts of another data centre. It counts like the report of a peer as of the given time, and
+// longer by the delay with which it travels.
+func (scheduler *Scheduler) SetRegionUsage(asOf time.Time, delay time.Duration, dataCentre string, usages map[string]Usage) {
+	for name := range scheduler.regionUsages[dataCentre] {
+		if state := scheduler.servers[name]; state != nil {
+			delete(state.regions, dataCentre)
+		}
+	}
+	for name, usage := range usages {
+		if state := scheduler.servers[name]; state != nil {
+			if state.regions == nil {
+				state.regions = map[string]regionUsage{}
+			}
+			state.regions[dataCentre] = regionUsage{usage: usage, until: asOf.Add(UsageLifetime + delay)}
+		}
+	}
+	scheduler.regionUsages[dataCentre] = usages
+	if usages == nil {
+		delete(scheduler.regionUsages, dataCentre)
+	}
+}
+
+// SumUsage returns the sum of this host's usage and of the reports of some peers that still count, by server, and the time of the
+// oldest of these reports.
+func (scheduler *Scheduler) SumUsage(now time.Time, peers value.Set[string]) (sums map[string]Usage, oldest time.Time) {
+	sums, oldest = scheduler.UsageWithWork(now), now
+	for name, state := range scheduler.servers {
+		for host, peer := range state.peers {
+			if !peers.Has(host) || now.Sub(peer.at) >= UsageLifetime {
+				continue
+			}
+			sums[name] = sums[name].plus(peer.usage)
+			if peer.at.Before(oldest) {
+				oldest = peer.at
+			}
+		}
+	}
+	return sums, oldest
+}
+
+// reported returns the usage by the requests of other hosts that have reported it, by peer or data centre.
+func (state *serverState) reported(now time.Time) []Usage {
+	usages := make([]Usage, 0, len(state.peers)+len(state.regions))
+	for _, peer := range state.peers {
+		if now.Sub(peer.at) < UsageLifetime {
+			usages = append(usages, peer.usage)
+		}
+	}
+	for _, region := range state.regions {
+		if now.Before(region.until) {
+			usages = append(usages, region.usage)
+		}
+	}
+	return usages
+}
--- a/core/sched/reports.go
+++ b/core/sched/reports.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		for host, peer := range state.peers {
-			if now.Sub(peer.at) >= usageLifetime {
+			if now.Sub(peer.at) >= UsageLifetime {
 				continue
 			}
 			if _, found := reports[host]; !found {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// usageLifetime is how long a peer's usage report counts. In large fleets, a peer reports only every 2 s.
-	usageLifetime = 2500 * time.Millisecond
+	// UsageLifetime is how long a peer's usage report counts. In large fleets, a peer reports only every 2 s.
+	UsageLifetime = 2500 * time.Millisecond
 	// othersLifetime is how long the load that a lease holder has reported for a server is used.
 	othersLifetime = 500 * time.Millisecond
 	// initialTokenTime is the assumed time that a server takes per prompt token until it has been measured.
@@ -88,6 +88,8 @@
 	// runs holds this host's running requests.
 	runs  map[*Run]struct{}
 	peers map[string]peerUsage
+	// regions holds the load by the hosts of other data centres.
+	regions map[string]regionUsage
 	// others is the load by the requests of other hosts, as the server's lease holder knew it at othersAt.
 	others    Usage
 	othersAt  time.Time
@@ -105,6 +107,8 @@
 	replicated map[spec.AdapterRef]time.Time
 	// peerUsages holds the last usage report of each peer.
 	peerUsages map[string]map[string]Usage
+	// regionUsages holds the last statement of each other data centre.
+	regionUsages map[string]map[string]Usage
 	// notices holds what servers have said of themselves. They outlast the removal of a server's registration.
 	notices *notice.Board[spec.Incarnation]
 	// ejections collects the ejections since the last call of TakeEjections.
@@ -142,7 +146,7 @@
 func New(dataCentre string, options ...Option) *Scheduler {
 	scheduler := &Scheduler{
 		dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{},
-		notices: notice.New[spec.Incarnation](), gate: warm.New(""),
+		regionUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation](), gate: warm.New(""),
 	}
 	for _, option := range options {
 		option(scheduler)
@@ -261,10 +265,8 @@
 	if now.Sub(state.othersAt) < othersLifetime {
 		return sum.plus(state.others)
 	}
-	for _, peer := range state.peers {
-		if now.Sub(peer.at) < usageLifetime {
-			sum = sum.plus(peer.usage)
-		}
+	for _, usage := range state.reported(now) {
+		sum = sum.plus(usage)
 	}
 	return sum
 }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -147,7 +147,7 @@
 	scheduler.SetPeerUsage(start, "host-2", map[string]Usage{"orders-0": {Running: 4}})
 	choice, _ = scheduler.Choose(start, orders, all, job)
 	is.Equal(choice.Server.ID, "orders-1")
-	choice, _ = scheduler.Choose(start.Add(usageLifetime), orders, all, job)
+	choice, _ = scheduler.Choose(start.Add(UsageLifetime), orders, all, job)
 	is.Equal(choice.Server.ID, "orders-0") // The peer's usage report has expired.
 }
 
--- a/io/coord/controller.go
+++ b/io/coord/controller.go
@@ -84,7 +84,7 @@
 			control.notifyChange(running)
 		}
 		control.updateVersions(running, view.Versions)
-		running.slots.SetGossipDelay(control.gossip.Period())
+		running.slots.SetGossipDelay(control.gossipDelay())
 	}
 	for name := range control.controllers {
 		if !held[name] {
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -119,6 +119,8 @@
 	running map[string]map[string]int
 	// gossip decides which peers to call.
 	gossip *gossip.Schedule
+	// relays is the state that concerns the exchange of states between data centres.
+	relays *relays
 	// renewalFailingSince is the send time of the first renewal that failed while no lease was in force. It is zero
 	// after a successful renewal.
 	renewalFailingSince time.Time
@@ -175,7 +177,7 @@
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, pendingDemand: map[string]map[string]float64{}, decoded: map[string]decodedServer{}, decodedVersions: map[string]int64{},
 		lapsedUntil: map[string]time.Time{}, evacuations: map[string]string{}, unknownLogged: value.NewSet[string](), membership: limit.NewMembership(settings.Host.Name),
 		gossip: gossip.New(settings.Host.Name, gossipInterval, maxExchanges), blockRows: blockRows,
-		renewals: newRenewals(coordinator), avoidedWriters: map[string]time.Time{},
+		relays: newRelays(settings.Host.Name), renewals: newRenewals(coordinator), avoidedWriters: map[string]time.Time{},
 	}
 	control.servers = newTableMirror(servers, serversReadAge, rowsPullInterval, mirror.WithContent(control.registrationHash))
 	coordinator.traffic.control = control
--- a/io/coord/crashes.go
+++ b/io/coord/crashes.go
@@ -44,7 +44,7 @@
 // expiredBlock returns a transaction that deletes the row of a block that has ended, if there is one. Only the first reader
 // of the table deletes them.
 func (control *control) expiredBlock(now time.Time) (lentilproxy.Transaction, bool) {
-	if control.rank(control.fleet) > 0 {
+	if control.rank(now, control.fleet) > 0 {
 		return lentilproxy.Transaction{}, false
 	}
 	return control.blockRows.Cleanup(now)
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -134,7 +134,7 @@
 	if table.provenAt.IsZero() {
 		return 0
 	}
-	rank, hosts := control.rank(table), len(control.peers)+1
+	rank, hosts := control.rank(now, table), len(control.peers)+1
 	since := table.provenAt
 	if table == control.fleet && !mirror.FewHosts(hosts) && rank < mirror.Readers {
 		// Hosts that may have to expel others need the versions of all rows, which proofs of peers do not show.
@@ -157,7 +157,7 @@
 		return tableRead{scan: true, exact: true}
 	}
 	recent := now.Sub(table.readAt) <= versionsMaxGap
-	if table == control.fleet && (recent || mirror.FewHosts(len(control.peers)+1) || control.rank(table) < mirror.Readers) {
+	if table == control.fleet && (recent || mirror.FewHosts(len(control.peers)+1) || control.rank(now, table) < mirror.Readers) {
 		// This host reads regularly, as a reader or since it hears of no newer reads, and may have to expel others.
 		if !table.exact || !recent {
 			return tableRead{scan: true, exact: true}
@@ -182,7 +182,7 @@
 	if table.pulling {
 		return minRetry
 	}
-	name := mirror.Asked(table.name, control.coordinator.settings.Host.Name, control.reachablePeers(), table.asks)
+	name := mirror.Asked(table.name, control.coordinator.settings.Host.Name, control.reachablePeers(now), table.asks)
 	table.askedAt, table.asks = now, table.asks+1
 	if peer := control.peers[name]; peer != nil {
 		table.pulling = true
@@ -193,10 +193,11 @@
 
 // reachablePeers returns the peers that have responded to the last call. If fewer than half of them have, this host may be the one
 // that is cut off or overloaded, and all peers are returned: otherwise every overloaded host would read the store as a first reader.
-func (control *control) reachablePeers() []string {
+func (control *control) reachablePeers(now time.Time) []string {
 	names := make([]string, 0, len(control.peers))
+	silent := control.silentHosts(now)
 	for name, peer := range control.peers {
-		if !peer.unreachable {
+		if !peer.unreachable && !silent.Has(name) {
 			names = append(names, name)
 		}
 	}
@@ -208,8 +209,8 @@
 }
 
 // rank returns the number of reachable hosts that precede this one in the order of readers of a table.
-func (control *control) rank(table *tableMirror) int {
-	return mirror.Rank(table.name, control.coordinator.settings.Host.Name, control.reachablePeers())
+func (control *control) rank(now time.Time, table *tableMirror) int {
+	return mirror.Rank(table.name, control.coordinator.settings.Host.Name, control.reachablePeers(now))
 }
 
 // recordReadFailure records that a read of a table has failed.
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -6,7 +6,6 @@
 
 	"lentilproxy/core/sched"
 	"lentilproxy/core/slots"
-	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 )
 
@@ -58,6 +57,13 @@
 	Running map[string]map[string]int `json:"running,omitempty"`
 	// Loaded maps servers that the sender holds to what they have loaded, if it has changed.
 	Loaded map[string]loadedUpdate `json:"held,omitempty"`
+	// Support says whether the sender's messages stay within its data centre. The fields below are in messages of such hosts only.
+	Support regionSupport `json:"regional,omitempty"`
+	// Relay asks a host of another data centre for the state of its data centre.
+	Relay bool `json:"relay,omitempty"`
+	// Regions maps data centres to their states, and RegionsReceived those that the sender has from the receiver to what it has of them.
+	Regions         map[string]*regionMessage `json:"regions,omitempty"`
+	RegionsReceived map[string]regionPosition `json:"regions_received,omitempty"`
 }
 
 type loadedUpdate struct {
@@ -74,8 +80,9 @@
 
 // peerState is the host's state for one peer.
 type peerState struct {
-	name    string
-	address string
+	name       string
+	address    string
+	dataCentre string
 	// calling reports whether a call to the peer is in progress.
 	calling bool
 	// ackedRevisions holds the revisions of controllers that the peer is certain to have received.
@@ -93,6 +100,19 @@
 	receivedCount int
 	// receivedID is the ID of the last message from the peer.
 	receivedID int64
+	// regional is set if the peer's messages stay within its data centre.
+	regional bool
+	// streams holds the states of data centres that the peer sends, and positions what the peer has of those that this host sends.
+	streams   map[string]*regionStream
+	positions map[string]regionPosition
+	// regionsID is the ID of the last message from the peer with states of data centres.
+	regionsID int64
+	// members is the number of members that the peer counted in its last message, at heardAt.
+	members int
+	heardAt time.Time
+	// calledAt is when this host last called the peer. reportedRunning is set if the peer may count running requests of this host.
+	calledAt        time.Time
+	reportedRunning bool
 	// lastResponse is the last message sent to the peer in a response, until the peer reports whether it was received.
 	lastResponse sentResponse
 }
@@ -141,8 +161,8 @@
 		if known == nil {
 			control.coordinator.log.Info("peer known", "peer", host.Name, "address", host.PeerAddress, "data_centre", host.DataCentre)
 		}
-		if known == nil || known.address != host.PeerAddress {
-			control.peers[host.Name] = &peerState{name: host.Name, address: host.PeerAddress, ackedRevisions: map[string]int64{}}
+		if known == nil || known.address != host.PeerAddress || known.dataCentre != host.DataCentre {
+			control.peers[host.Name] = &peerState{name: host.Name, address: host.PeerAddress, dataCentre: host.DataCentre, ackedRevisions: map[string]int64{}}
 		}
 	}
 	for name := range control.peers {
@@ -151,7 +171,7 @@
 			control.coordinator.log.Info("peer removed", "peer", name)
 		}
 	}
-	control.gossip.SetPeers(now, value.Sorted(control.peers))
+	control.updateTopology(now)
 	control.coordinator.traffic.updateHosts(now, control.registry, control.peers)
 }
 
@@ -163,8 +183,8 @@
 			control.collectDemand(now)
 			control.running = coordinator.traffic.runningRequests()
 			control.setRunning(now, coordinator.settings.Host.Name, control.running)
-			for _, name := range control.gossip.Due(now) {
-				control.startExchange(now, control.peers[name])
+			for _, peer := range control.duePeers(now) {
+				control.startExchange(now, peer)
 			}
 			control.divideLimits(now)
 			control.reportEvacuations(now)
@@ -220,7 +240,10 @@
 		Host: control.coordinator.settings.Host.Name, ID: now.UnixNano(), ReceivedID: peer.receivedID, Members: control.members,
 		UsageReceived: peer.receivedUsage.newest(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
-	peer.addState(&message, control.ownUsage(now), control.ownLoaded())
+	message.Support = control.support(peer)
+	if control.statesItself(peer) {
+		peer.addState(&message, control.ownUsage(now), control.ownLoaded())
+	}
 	for server, demand := range control.pendingDemand {
 		if control.heldBy(server, peer) {
 			message.Demand[server] = demand
@@ -230,11 +253,12 @@
 	for server, running := range control.running {
 		if control.heldBy(server, peer) {
 			message.Running[server] = running
+			peer.reportedRunning = true
 		}
 	}
 	revisions := map[string]int64{}
 	for name, controller := range control.controllers {
-		if !peer.sendsContents && !peer.hasRevision(name, controller.revision) {
+		if control.statesItself(peer) && !peer.sendsContents && !peer.hasRevision(name, controller.revision) {
 			message.Loaded[name] = loadedUpdate{StartedMillis: controller.server.StartedMillis, Loaded: controller.published}
 			revisions[name] = controller.revision
 		}
@@ -271,9 +295,21 @@
 	if peer.calling {
 		return
 	}
-	peer.calling = true
+	message, revisions := control.composeCall(now, peer)
+	go control.exchange(peer, message, revisions)
+}
+
+// composeCall returns the message of a call to a peer, and the revisions of controllers that it contains.
+func (control *control) composeCall(now time.Time, peer *peerState) (gossipMessage, map[string]int64) {
+	peer.calling, peer.calledAt = true, now
 	control.gossip.RecordCall(now, peer.name)
+	control.relays.schedule.RecordCall(now, peer.name)
 	message, revisions := control.composeMessage(now, peer)
+	message.Relay = control.isRelayed(peer)
+	control.addRegions(now, peer, &message)
+	if control.remote(peer) && peer.regional && !message.Relay {
+		return message, revisions // It only reports requests.
+	}
 	message.NewestVersions, message.Contents = map[string]int64{}, map[string]contentVersion{}
 	for _, table := range control.tables() {
 		message.Contents[control.proofName(table)] = table.contentVersion()
@@ -281,7 +317,7 @@
 			message.NewestVersions[table.name] = table.CompleteTo()
 		}
 	}
-	go control.exchange(peer, message, revisions)
+	return message, revisions
 }
 
 func (control *control) exchange(peer *peerState, message gossipMessage, revisions map[string]int64) {
@@ -291,22 +327,30 @@
 	var result gossipResult
 	sentAt := clock.Now()
 	err := coordinator.peers.Call(ctx, peer.address, methodGossip, message, &result)
-	coordinator.post(func(now time.Time) {
-		peer.calling = false
-		if (err != nil) != peer.unreachable {
-			peer.unreachable = err != nil
-			control.logReachability(peer, err)
-		}
-		if err != nil {
-			return
-		}
-		control.membership.RecordAck(sentAt, peer.name)
-		peer.recordAcked(revisions)
-		if result.Message.Host == peer.name {
-			control.applyMessage(now, peer, result.Message)
-		}
-		control.compareProofs(now, sentAt, peer, result.Proofs)
-	})
+	result.Message.unpackRegions(coordinator.log)
+	coordinator.post(func(now time.Time) { control.endExchange(now, sentAt, peer, message, revisions, result, err) })
+}
+
+// endExchange applies the result of a call that was sent at sentAt.
+func (control *control) endExchange(now, sentAt time.Time, peer *peerState, message gossipMessage, revisions map[string]int64, result gossipResult, err error) {
+	peer.calling = false
+	if (err != nil) != peer.unreachable {
+		peer.unreachable = err != nil
+		control.logReachability(peer, err)
+	}
+	if err != nil {
+		control.skip(now, peer.name, skipFor)
+		return
+	}
+	control.membership.RecordAck(sentAt, peer.name)
+	peer.recordAcked(revisions)
+	peer.reportedRunning = peer.reportedRunning && len(message.Running) > 0
+	if result.Message.Host == peer.name {
+		control.recordSupport(now, peer, result.Message.Support)
+		control.applyMessage(now, peer, result.Message)
+		control.applyRegions(now, sentAt, peer, result.Message)
+	}
+	control.compareProofs(now, sentAt, peer, result.Proofs)
 }
 
 func (control *control) logReachability(peer *peerState, err error) {
@@ -326,6 +370,7 @@
 		peer.confirmUsage(message.UsageReceived)
 		peer.completeState(&message)
 		peer.receivedID = message.ID
+		peer.members, peer.heardAt = message.Members, now
 		if sentAt, confirmed := peer.confirmResponse(message.ReceivedID); confirmed {
 			control.membership.RecordAck(sentAt, peer.name)
 		}
@@ -333,12 +378,16 @@
 	// The response or the next message to the sender acknowledges this message. The sender may then use its whole
 	// share, so this host must have given up that share before.
 	control.divideLimits(now)
+	if peer != nil && control.remote(peer) && control.regionCounts(now, peer.dataCentre) {
+		message.Usage = nil // The sum of the data centre contains it.
+	}
 	control.coordinator.traffic.applyPeerMessage(now, message)
 }
 
 // handleGossip handles a peer's call.
 func (control *control) handleGossip(message gossipMessage) gossipResult {
 	var result gossipResult
+	message.unpackRegions(control.coordinator.log)
 	control.coordinator.do(func(now time.Time) { result = control.respondToMessage(now, message) })
 	return result
 }
@@ -346,15 +395,24 @@
 func (control *control) respondToMessage(now time.Time, message gossipMessage) gossipResult {
 	peer := control.peers[message.Host]
 	control.applyMessage(now, peer, message)
-	result := gossipResult{Proofs: control.proofs(now)}
+	result := gossipResult{}
+	if message.Support == regionsUnsupported || len(message.Contents) > 0 {
+		result.Proofs = control.proofs(now)
+	}
 	if peer == nil {
 		return result
 	}
 	control.gossip.RecordReceived(now, peer.name)
-	peer.sendsContents = len(message.Contents) > 0
+	control.relays.schedule.RecordReceived(now, peer.name)
+	control.applyRegions(now, now.Add(-control.lateness(now, message)), peer, message)
+	peer.sendsContents = len(message.Contents) > 0 || message.Support == regionsInUse
 	control.compareVersions(now, peer, message.NewestVersions, message.Contents)
 	var revisions map[string]int64
 	result.Message, revisions = control.composeMessage(now, peer)
+	if message.Relay && control.remote(peer) {
+		control.relays.askedAt, result.Message.Relay = now, true
+	}
+	control.addRegions(now, peer, &result.Message)
 	peer.lastResponse = sentResponse{id: result.Message.ID, sentAt: now, revisions: revisions}
 	return result
 }
--- /dev/null
+++ b/io/coord/region.go
@@ -0,0 +1,411 @@
+package coord
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"io"
+	"maps"
+	"math"
+	"math/bits"
+	"time"
+
+	"lentilproxy/core/gossip"
+	"lentilproxy/core/sched"
+	"lentilproxy/core/value"
+
+	"github.com/samber/oops"
+)
+
+const (
+	// maxLoadedChanges bounds the changes of loaded adapters in a message, over all data centres. Their number after a start of all
+	// hosts would exceed what a relay's link carries within callTimeout; the rest follows in the next messages.
+	maxLoadedChanges = 2000
+	// minPacked is the size in bytes from which on changes are compressed. Names of servers and adapters repeat.
+	minPacked = 400
+	// maxUnpacked bounds the size in bytes of changes after decompression.
+	maxUnpacked = 16 << 20
+	// usageBits is the number of leading bits of a sum of usage that are passed on. Smaller changes, by less than 7%, are not sent.
+	usageBits = 4
+	// removedAdapter is the version in messages of an adapter that was removed.
+	removedAdapter = -1
+)
+
+// regionServer is what a server of a data centre has loaded, as its lease holder has reported it. It is never changed.
+type regionServer struct {
+	holder string
+	update loadedUpdate
+}
+
+func (server *regionServer) equal(other *regionServer) bool {
+	return server == other || server != nil && other != nil && server.holder == other.holder &&
+		server.update.StartedMillis == other.update.StartedMillis && sameLoaded(server.update.Loaded, other.update.Loaded)
+}
+
+// region is the state of a data centre as this host knows it: the sum of the usage by its hosts, and what the servers that they hold
+// have loaded.
+type region struct {
+	gossip.Statement
+	members int
+	// silent are the hosts that do not respond to the relay.
+	silent []string
+	// usage is replaced as a whole; servers is not.
+	usage   map[string]sched.Usage
+	servers map[string]*regionServer
+	// updatedAt is when the state was last composed or received.
+	updatedAt time.Time
+	// outbox is nil unless this host sends the state to others.
+	outbox *regionOutbox
+}
+
+func newRegion() *region { return &region{servers: map[string]*regionServer{}} }
+
+// regionOutbox lists the changes of a region's state, and keeps them encoded for all peers that need the same.
+type regionOutbox struct {
+	epoch   int64
+	usage   *gossip.Record[string, sched.Usage]
+	loaded  *gossip.Record[loadedKey, loadedValue]
+	servers map[string]*regionServer
+	encoded map[changesKey]encodedChanges
+}
+
+// loadedKey is a server, or an adapter on a server.
+type loadedKey struct {
+	server  string
+	adapter string
+}
+
+// loadedValue describes a server or, if the key has an adapter, is the version of that.
+type loadedValue struct {
+	holder        string
+	startedMillis int64
+	model         string
+	orderable     bool
+	version       int64
+}
+
+func (server *regionServer) head() loadedValue {
+	return loadedValue{holder: server.holder, startedMillis: server.update.StartedMillis, model: server.update.Loaded.Model, orderable: server.update.Loaded.Orderable}
+}
+
+// changesKey is the state of the receivers that need the same changes.
+type changesKey struct {
+	position regionPosition
+	most     int
+}
+
+type encodedChanges struct {
+	content json.RawMessage
+	packed  []byte
+	next    regionPosition
+	loaded  int
+}
+
+// regionPosition is the state of a region that a receiver has from a sender: the revisions of two records. The epoch identifies them.
+type regionPosition struct {
+	Epoch  int64 `json:"epoch"`
+	Usage  int64 `json:"usage"`
+	Loaded int64 `json:"held"`
+}
+
+// regionMessage is the state of a data centre in a message: what differs from the state at Base, which the receiver has.
+type regionMessage struct {
+	Source string `json:"source"`
+	Stamp  int64  `json:"stamp"`
+	// AgeMS is the age of the oldest part of the state.
+	AgeMS   int64          `json:"age_ms"`
+	Members int            `json:"members,omitempty"`
+	Silent  []string       `json:"silent,omitempty"`
+	Base    regionPosition `json:"base"`
+	Next    regionPosition `json:"next"`
+	// Partial reports whether further changes follow in the next messages.
+	Partial bool `json:"partial,omitempty"`
+	// Changes are the encoded changes, or Packed the compressed ones.
+	Changes json.RawMessage `json:"changes,omitempty"`
+	Packed  []byte          `json:"packed,omitempty"`
+
+	decoded regionChanges
+}
+
+// regionChanges are changes of a region's state. A usage is empty if there is none any more.
+type regionChanges struct {
+	Usage  map[string][]int64       `json:"usage,omitempty"`
+	Loaded map[string]*serverChange `json:"held,omitempty"`
+}
+
+// serverChange is what differs in a server's loaded adapters. Gone is set if no host of the
+// data centre holds the server any more.
+type serverChange struct {
+	Holder        string           `json:"holder,omitempty"`
+	StartedMillis int64            `json:"born,omitempty"`
+	Model         string           `json:"model,omitempty"`
+	Orderable     bool             `json:"orderable,omitempty"`
+	Gone          bool             `json:"gone,omitempty"`
+	Adapters      map[string]int64 `json:"adapters,omitempty"`
+}
+
+// coarse returns a number of which only the leading bits are kept.
+func coarse(number int64) int64 {
+	shift := bits.Len64(uint64(max(0, number))) - usageBits
+	if shift <= 0 {
+		return number
+	}
+	return number >> shift << shift
+}
+
+func coarseUsage(usage sched.Usage) sched.Usage {
+	return sched.Usage{Running: int(coarse(int64(usage.Running))), Backlog: coarse(usage.Backlog), Tokens: coarse(usage.Tokens), WorkMillis: coarse(usage.WorkMillis)}
+}
+
+// publish records the changes of the state since the last call.
+func (region *region) publish(now time.Time) *regionOutbox {
+	outbox := region.outbox
+	if outbox == nil {
+		outbox = &regionOutbox{
+			epoch: now.UnixNano(), usage: gossip.NewRecord[string, sched.Usage](), loaded: gossip.NewRecord[loadedKey, loadedValue](),
+			servers: map[string]*regionServer{},
+		}
+		region.outbox = outbox
+	}
+	before := outbox.position()
+	for server, usage := range region.usage {
+		outbox.usage.Set(server, coarseUsage(usage))
+	}
+	for server := range outbox.usage.All() {
+		if _, found := region.usage[server]; !found {
+			outbox.usage.Delete(server)
+		}
+	}
+	// Hosts need to know first which servers take orders, and from whom.
+	for name, server := range region.servers {
+		outbox.loaded.Set(loadedKey{server: name}, server.head())
+	}
+	for name, server := range region.servers {
+		if outbox.servers[name] != server {
+			outbox.setAdapters(name, server)
+		}
+	}
+	for name, server := range outbox.servers {
+		if _, found := region.servers[name]; !found {
+			for adapter := range server.update.Loaded.Adapters {
+				outbox.loaded.Delete(loadedKey{server: name, adapter: adapter})
+			}
+			outbox.loaded.Delete(loadedKey{server: name})
+			delete(outbox.servers, name)
+		}
+	}
+	if outbox.position() != before || outbox.encoded == nil {
+		outbox.encoded = map[changesKey]encodedChanges{}
+	}
+	return outbox
+}
+
+func (outbox *regionOutbox) setAdapters(name string, server *regionServer) {
+	if known := outbox.servers[name]; known != nil {
+		for adapter := range known.update.Loaded.Adapters {
+			if _, found := server.update.Loaded.Adapters[adapter]; !found {
+				outbox.loaded.Delete(loadedKey{server: name, adapter: adapter})
+			}
+		}
+	}
+	for adapter, version := range server.update.Loaded.Adapters {
+		outbox.loaded.Set(loadedKey{server: name, adapter: adapter}, loadedValue{version: version})
+	}
+	outbox.servers[name] = server
+}
+
+// position returns the position of a receiver that has all changes.
+func (outbox *regionOutbox) position() regionPosition {
+	return regionPosition{Epoch: outbox.epoch, Usage: outbox.usage.Revision(), Loaded: outbox.loaded.Revision()}
+}
+
+// since returns the encoded changes since a receiver's position, with a bounded number of changes of loaded adapters.
+func (outbox *regionOutbox) since(position regionPosition, most int) (base regionPosition, changes encodedChanges, err error) {
+	base = regionPosition{Epoch: outbox.epoch}
+	if position.Epoch == outbox.epoch {
+		base.Usage, base.Loaded = outbox.usage.Base(position.Usage), outbox.loaded.Base(position.Loaded)
+	}
+	key := changesKey{position: base, most: most}
+	if known, found := outbox.encoded[key]; found {
+		return base, known, nil
+	}
+	changed := regionChanges{Usage: map[string][]int64{}, Loaded: map[string]*serverChange{}}
+	usages, usageEnd := outbox.usage.Since(base.Usage, math.MaxInt)
+	for _, change := range usages {
+		changed.Usage[change.Key] = change.Value.Compact()
+	}
+	loaded, loadedEnd := outbox.loaded.Since(base.Loaded, most)
+	for _, change := range loaded {
+		changed.addLoaded(change)
+	}
+	next := encodedChanges{next: regionPosition{Epoch: outbox.epoch, Usage: usageEnd, Loaded: loadedEnd}, loaded: len(loaded)}
+	if len(usages)+len(loaded) > 0 {
+		if next.content, next.packed, err = changed.encode(); err != nil {
+			return base, next, err
+		}
+	}
+	outbox.encoded[key] = next
+	return base, next, nil
+}
+
+func (changes *regionChanges) addLoaded(change gossip.Change[loadedKey, loadedValue]) {
+	server := changes.Loaded[change.Key.server]
+	if server == nil {
+		server = &serverChange{}
+		changes.Loaded[change.Key.server] = server
+	}
+	switch {
+	case change.Key.adapter != "":
+		if server.Adapters == nil {
+			server.Adapters = map[string]int64{}
+		}
+		server.Adapters[change.Key.adapter] = change.Value.version
+		if change.Deleted {
+			server.Adapters[change.Key.adapter] = removedAdapter
+		}
+	case change.Deleted:
+		server.Gone = true
+	default:
+		server.Holder, server.StartedMillis = change.Value.holder, change.Value.startedMillis
+		server.Model, server.Orderable = change.Value.model, change.Value.orderable
+	}
+}
+
+// encode returns the encoded changes: as they are if they are short, else compressed.
+func (changes *regionChanges) encode() (content json.RawMessage, packed []byte, err error) {
+	content, err = json.Marshal(changes)
+	if err != nil || len(content) < minPacked {
+		return content, nil, err
+	}
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
+	if err != nil {
+		return nil, nil, err
+	}
+	if _, err := writer.Write(content); err != nil {
+		return nil, nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, nil, err
+	}
+	return nil, buffer.Bytes(), nil
+}
+
+// unpack decodes the changes in a message.
+func (message *regionMessage) unpack() error {
+	content := []byte(message.Changes)
+	if len(message.Packed) > 0 {
+		unpacked, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(message.Packed)), maxUnpacked))
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		content = unpacked
+	}
+	if len(content) == 0 {
+		return nil
+	}
+	return oops.Wrap(json.Unmarshal(content, &message.decoded))
+}
+
+// regionStream is the state of a region that a peer sends, as of a position. It is partial until the peer has sent all of it once.
+type regionStream struct {
+	position regionPosition
+	complete bool
+	// usage is replaced as a whole; servers is not.
+	usage   map[string]sched.Usage
+	servers map[string]*regionServer
+}
+
+// apply applies the changes in a message. It reports false if they refer to a state that this host does not have.
+func (stream *regionStream) apply(message *regionMessage) bool {
+	if message.Base.Epoch != stream.position.Epoch {
+		if message.Base.Usage != 0 || message.Base.Loaded != 0 {
+			return false
+		}
+		*stream = regionStream{position: regionPosition{Epoch: message.Base.Epoch}}
+	}
+	if message.Base.Usage > stream.position.Usage || message.Base.Loaded > stream.position.Loaded {
+		return false
+	}
+	if message.Base.Usage == 0 && message.Next.Usage > 0 || stream.usage == nil {
+		stream.usage, stream.position.Usage = map[string]sched.Usage{}, 0
+	}
+	if message.Base.Loaded == 0 && message.Next.Loaded > 0 || stream.servers == nil {
+		stream.servers, stream.position.Loaded, stream.complete = map[string]*regionServer{}, 0, false
+	}
+	if len(message.decoded.Usage) > 0 {
+		stream.usage = maps.Clone(stream.usage)
+	}
+	for server, values := range message.decoded.Usage {
+		if len(values) == 0 {
+			delete(stream.usage, server)
+			continue
+		}
+		stream.usage[server] = sched.ExpandUsage(values)
+	}
+	for name, change := range message.decoded.Loaded {
+		stream.applyLoaded(name, change)
+	}
+	stream.position.Usage = max(stream.position.Usage, message.Next.Usage)
+	stream.position.Loaded = max(stream.position.Loaded, message.Next.Loaded)
+	stream.complete = stream.complete || !message.Partial
+	return true
+}
+
+func (stream *regionStream) applyLoaded(name string, change *serverChange) {
+	if change.Gone {
+		delete(stream.servers, name)
+		return
+	}
+	next := &regionServer{}
+	if known := stream.servers[name]; known != nil {
+		*next = *known
+	}
+	if change.Holder != "" {
+		next.holder, next.update.StartedMillis = change.Holder, change.StartedMillis
+		next.update.Loaded.Model, next.update.Loaded.Orderable = change.Model, change.Orderable
+	}
+	if len(change.Adapters) > 0 {
+		adapters := make(map[string]int64, len(next.update.Loaded.Adapters)+len(change.Adapters))
+		maps.Copy(adapters, next.update.Loaded.Adapters)
+		for adapter, version := range change.Adapters {
+			if adapters[adapter] = version; version == removedAdapter {
+				delete(adapters, adapter)
+			}
+		}
+		next.update.Loaded.Adapters = adapters
+	}
+	stream.servers[name] = next
+}
+
+// accept replaces the state of the region by that of a stream, and returns the servers whose state has changed.
+func (region *region) accept(stream *regionStream) map[string]*regionServer {
+	region.usage = stream.usage
+	changed := map[string]*regionServer{}
+	for name, server := range stream.servers {
+		switch known := region.servers[name]; {
+		case known == server:
+		case server.holder == "":
+			// The description of the server follows in a later message.
+		case known.equal(server):
+			stream.servers[name] = known // Both relays state the same; it is kept once.
+		default:
+			region.servers[name], changed[name] = server, server
+		}
+	}
+	if stream.complete {
+		maps.DeleteFunc(region.servers, func(name string, _ *regionServer) bool { return stream.servers[name] == nil })
+	}
+	return changed
+}
+
+// heldIn returns the servers of a region that have the holder that another source states.
+func (region *region) heldIn(holderOf func(server string) string) map[string]*regionServer {
+	held := map[string]*regionServer{}
+	for _, name := range value.Sorted(region.servers) {
+		if server := region.servers[name]; holderOf(name) == server.holder {
+			held[name] = server
+		}
+	}
+	return held
+}
--- a/io/coord/renew.go
+++ b/io/coord/renew.go
@@ -244,7 +244,7 @@
 func (control *control) renewalWriter(now time.Time) string {
 	self := control.coordinator.settings.Host.Name
 	hosts := []string{self}
-	for _, peer := range control.reachablePeers() {
+	for _, peer := range control.reachablePeers(now) {
 		if until, avoided := control.avoidedWriters[peer]; !avoided || !now.Before(until) {
 			delete(control.avoidedWriters, peer)
 			hosts = append(hosts, peer)
