Compact messages between hosts whose messages stay within data centres

Names of fields, repeated IDs and digests of tables were most of the bytes of messages that say little. Other messages are unchanged.

--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -64,6 +64,11 @@
 	// Regions maps data centres to their states, and RegionsReceived those that the sender has from the receiver to what it has of them.
 	Regions         map[string]*regionMessage `json:"regions,omitempty"`
 	RegionsReceived map[string]regionPosition `json:"regions_received,omitempty"`
+	// Compact is the compact form of a message that was received. The other fields are then set from it.
+	Compact *compactMessage `json:"c,omitempty"`
+	// ContentsHash takes the place of Contents in the compact form, in which the message is sent if compact is set.
+	ContentsHash string `json:"-"`
+	compact      bool
 }
 
 type loadedUpdate struct {
@@ -76,6 +81,8 @@
 type gossipResult struct {
 	Proofs  map[string]proof `json:"proofs"`
 	Message gossipMessage    `json:"digest"`
+	// Same takes the place of Proofs, in the order of the tables, if the host has the contents that the caller has stated.
+	Same []tableProof `json:"same,omitempty"`
 }
 
 // peerState is the host's state for one peer.
@@ -241,6 +248,7 @@
 		UsageReceived: peer.receivedUsage.newest(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
 	message.Support = control.support(peer)
+	message.compact = control.relays.topology.Regional && peer.regional
 	if control.statesItself(peer) {
 		peer.addState(&message, control.ownUsage(now), control.ownLoaded())
 	}
@@ -310,9 +318,9 @@
 	if control.remote(peer) && peer.regional && !message.Relay {
 		return message, revisions // It only reports requests.
 	}
-	message.NewestVersions, message.Contents = map[string]int64{}, map[string]contentVersion{}
+	message.NewestVersions, message.Contents = map[string]int64{}, control.contents()
+	message.ContentsHash = control.contentsHash(message.Contents)
 	for _, table := range control.tables() {
-		message.Contents[control.proofName(table)] = table.contentVersion()
 		if table != control.fleet && !peer.sendsContents {
 			message.NewestVersions[table.name] = table.CompleteTo()
 		}
@@ -326,8 +334,8 @@
 	defer cancel()
 	var result gossipResult
 	sentAt := clock.Now()
-	err := coordinator.peers.Call(ctx, peer.address, methodGossip, message, &result)
-	result.Message.unpackRegions(coordinator.log)
+	err := coordinator.peers.Call(ctx, peer.address, methodGossip, message.wire(), &result)
+	result.Message.unpack(coordinator.log)
 	coordinator.post(func(now time.Time) { control.endExchange(now, sentAt, peer, message, revisions, result, err) })
 }
 
@@ -350,7 +358,7 @@
 		control.applyMessage(now, peer, result.Message)
 		control.applyRegions(now, sentAt, peer, result.Message)
 	}
-	control.compareProofs(now, sentAt, peer, result.Proofs)
+	control.compareProofs(now, sentAt, peer, control.expandProofs(result, message.Contents))
 }
 
 func (control *control) logReachability(peer *peerState, err error) {
@@ -388,18 +396,21 @@
 }
 
 // handleGossip handles a peer's call.
-func (control *control) handleGossip(message gossipMessage) gossipResult {
+func (control *control) handleGossip(message gossipMessage) any {
 	var result gossipResult
-	message.unpackRegions(control.coordinator.log)
+	message.unpack(control.coordinator.log)
 	control.coordinator.do(func(now time.Time) { result = control.respondToMessage(now, message) })
-	return result
+	return result.wire()
 }
 
 func (control *control) respondToMessage(now time.Time, message gossipMessage) gossipResult {
 	peer := control.peers[message.Host]
 	control.applyMessage(now, peer, message)
 	result := gossipResult{}
-	if message.Support == regionsUnsupported || len(message.Contents) > 0 {
+	switch {
+	case message.ContentsHash != "" && message.ContentsHash == control.contentsHash(control.contents()):
+		result.Same = control.compactProofs(control.proofs(now))
+	case message.Support == regionsUnsupported || len(message.Contents) > 0 || message.ContentsHash != "":
 		result.Proofs = control.proofs(now)
 	}
 	if peer == nil {
--- a/io/coord/region.go
+++ b/io/coord/region.go
@@ -101,23 +101,25 @@
 	loaded  int
 }
 
-// regionPosition is the state of a region that a receiver has from a sender: the revisions of two records. The epoch identifies them.
-type regionPosition struct {
-	Epoch  int64 `json:"epoch"`
-	Usage  int64 `json:"usage"`
-	Loaded int64 `json:"held"`
-}
+// regionPosition is the state of a region that a receiver has from a sender: the epoch that identifies the sender's records, and the
+// revisions of usage and of loaded adapters.
+type regionPosition [3]int64
+
+func (position regionPosition) epoch() int64  { return position[0] }
+func (position regionPosition) usage() int64  { return position[1] }
+func (position regionPosition) loaded() int64 { return position[2] }
 
-// regionMessage is the state of a data centre in a message: what differs from the state at Base, which the receiver has.
+// regionMessage is the state of a data centre in a message: what differs from a state that the receiver has.
 type regionMessage struct {
 	Source string `json:"source"`
 	Stamp  int64  `json:"stamp"`
 	// AgeMS is the age of the oldest part of the state.
-	AgeMS   int64          `json:"age_ms"`
-	Members int            `json:"members,omitempty"`
-	Silent  []string       `json:"silent,omitempty"`
-	Base    regionPosition `json:"base"`
-	Next    regionPosition `json:"next"`
+	AgeMS   int64    `json:"age_ms"`
+	Members int      `json:"members,omitempty"`
+	Silent  []string `json:"silent,omitempty"`
+	// At is the epoch of the sender's records, the revisions of usage and loaded adapters of the state that the receiver has, and those of
+	// the state after the changes.
+	At [5]int64 `json:"at"`
 	// Partial reports whether further changes follow in the next messages.
 	Partial bool `json:"partial,omitempty"`
 	// Changes are the encoded changes, or Packed the compressed ones.
@@ -216,29 +218,29 @@
 
 // position returns the position of a receiver that has all changes.
 func (outbox *regionOutbox) position() regionPosition {
-	return regionPosition{Epoch: outbox.epoch, Usage: outbox.usage.Revision(), Loaded: outbox.loaded.Revision()}
+	return regionPosition{outbox.epoch, outbox.usage.Revision(), outbox.loaded.Revision()}
 }
 
 // since returns the encoded changes since a receiver's position, with a bounded number of changes of loaded adapters.
 func (outbox *regionOutbox) since(position regionPosition, most int) (base regionPosition, changes encodedChanges, err error) {
-	base = regionPosition{Epoch: outbox.epoch}
-	if position.Epoch == outbox.epoch {
-		base.Usage, base.Loaded = outbox.usage.Base(position.Usage), outbox.loaded.Base(position.Loaded)
+	base = regionPosition{outbox.epoch}
+	if position.epoch() == outbox.epoch {
+		base = regionPosition{outbox.epoch, outbox.usage.Base(position.usage()), outbox.loaded.Base(position.loaded())}
 	}
 	key := changesKey{position: base, most: most}
 	if known, found := outbox.encoded[key]; found {
 		return base, known, nil
 	}
 	changed := regionChanges{Usage: map[string][]int64{}, Loaded: map[string]*serverChange{}}
-	usages, usageEnd := outbox.usage.Since(base.Usage, math.MaxInt)
+	usages, usageEnd := outbox.usage.Since(base.usage(), math.MaxInt)
 	for _, change := range usages {
 		changed.Usage[change.Key] = change.Value.Compact()
 	}
-	loaded, loadedEnd := outbox.loaded.Since(base.Loaded, most)
+	loaded, loadedEnd := outbox.loaded.Since(base.loaded(), most)
 	for _, change := range loaded {
 		changed.addLoaded(change)
 	}
-	next := encodedChanges{next: regionPosition{Epoch: outbox.epoch, Usage: usageEnd, Loaded: loadedEnd}, loaded: len(loaded)}
+	next := encodedChanges{next: regionPosition{outbox.epoch, usageEnd, loadedEnd}, loaded: len(loaded)}
 	if len(usages)+len(loaded) > 0 {
 		if next.content, next.packed, err = changed.encode(); err != nil {
 			return base, next, err
@@ -318,20 +320,22 @@
 
 // apply applies the changes in a message. It reports false if they refer to a state that this host does not have.
 func (stream *regionStream) apply(message *regionMessage) bool {
-	if message.Base.Epoch != stream.position.Epoch {
-		if message.Base.Usage != 0 || message.Base.Loaded != 0 {
+	base, next := regionPosition(message.At[:3]), regionPosition{message.At[0], message.At[3], message.At[4]}
+	if base.epoch() != stream.position.epoch() {
+		if base.usage() != 0 || base.loaded() != 0 {
 			return false
 		}
-		*stream = regionStream{position: regionPosition{Epoch: message.Base.Epoch}}
+		*stream = regionStream{position: base}
 	}
-	if message.Base.Usage > stream.position.Usage || message.Base.Loaded > stream.position.Loaded {
+	if base.usage() > stream.position.usage() || base.loaded() > stream.position.loaded() {
 		return false
 	}
-	if message.Base.Usage == 0 && message.Next.Usage > 0 || stream.usage == nil {
-		stream.usage, stream.position.Usage = map[string]sched.Usage{}, 0
+	usage, loaded := stream.position.usage(), stream.position.loaded()
+	if base.usage() == 0 && next.usage() > 0 || stream.usage == nil {
+		stream.usage, usage = map[string]sched.Usage{}, 0
 	}
-	if message.Base.Loaded == 0 && message.Next.Loaded > 0 || stream.servers == nil {
-		stream.servers, stream.position.Loaded, stream.complete = map[string]*regionServer{}, 0, false
+	if base.loaded() == 0 && next.loaded() > 0 || stream.servers == nil {
+		stream.servers, loaded, stream.complete = map[string]*regionServer{}, 0, false
 	}
 	if len(message.decoded.Usage) > 0 {
 		stream.usage = maps.Clone(stream.usage)
@@ -346,8 +350,7 @@
 	for name, change := range message.decoded.Loaded {
 		stream.applyLoaded(name, change)
 	}
-	stream.position.Usage = max(stream.position.Usage, message.Next.Usage)
-	stream.position.Loaded = max(stream.position.Loaded, message.Next.Loaded)
+	stream.position = regionPosition{next.epoch(), max(usage, next.usage()), max(loaded, next.loaded())}
 	stream.complete = stream.complete || !message.Partial
 	return true
 }
--- a/io/coord/region_test.go
+++ b/io/coord/region_test.go
@@ -203,7 +203,7 @@
 func (simulated *simulated) call(host *simulatedHost, due *peerState) {
 	control, to, sentAt := host.control, simulated.byName[due.name], simulated.now
 	message, revisions := control.composeCall(sentAt, due)
-	encoded := simulated.encode(host, to, message)
+	encoded := simulated.encode(host, to, message.wire())
 	fail := func() {
 		if control == host.control {
 			control.endExchange(simulated.now, sentAt, due, message, revisions, gossipResult{}, errors.New("no response"))
@@ -220,12 +220,13 @@
 		}
 		var received gossipMessage
 		simulated.decode(encoded, &received)
-		received.unpackRegions(logr.Discard())
-		response := simulated.encode(to, host, to.control.respondToMessage(simulated.now, received))
+		received.unpack(logr.Discard())
+		answer := to.control.respondToMessage(simulated.now, received)
+		response := simulated.encode(to, host, answer.wire())
 		simulated.after(simulated.delay(to, host), func() {
 			var result gossipResult
 			simulated.decode(response, &result)
-			result.Message.unpackRegions(logr.Discard())
+			result.Message.unpack(logr.Discard())
 			if control == host.control {
 				control.endExchange(simulated.now, sentAt, due, message, revisions, result, nil)
 			}
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -7,8 +7,6 @@
 	"lentilproxy/core/gossip"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/value"
-
-	"github.com/go-logr/logr"
 )
 
 const (
@@ -279,7 +277,8 @@
 	}
 	message.Regions[dataCentre] = &regionMessage{
 		Source: region.Source, Stamp: region.Stamp, AgeMS: now.Sub(region.AsOf).Milliseconds() + 1, Members: region.members, Silent: region.silent,
-		Base: base, Next: changes.next, Partial: changes.next.Loaded < outbox.loaded.Revision(), Changes: changes.content, Packed: changes.packed,
+		At:      [5]int64{base.epoch(), base.usage(), base.loaded(), changes.next.usage(), changes.next.loaded()},
+		Partial: changes.next.loaded() < outbox.loaded.Revision(), Changes: changes.content, Packed: changes.packed,
 	}
 }
 
@@ -425,13 +424,3 @@
 	}
 	return max(0, now.Sub(time.Unix(0, message.ReceivedID))-2*control.gossip.Period()-2*gossipInterval-callTimeout)
 }
-
-// unpackRegions decodes the states of data centres in a message.
-func (message *gossipMessage) unpackRegions(log logr.Logger) {
-	for dataCentre, region := range message.Regions {
-		if region == nil || region.unpack() != nil {
-			log.Info("invalid state of a data centre in a message", "peer", message.Host, "data_centre", dataCentre)
-			delete(message.Regions, dataCentre)
-		}
-	}
-}
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -43,9 +43,11 @@
 
 func (table *tableMirror) contentVersion() contentVersion {
 	content := table.Proof()
-	return contentVersion{AsOf: content.AsOf, Digest: strconv.FormatUint(content.Digest, digestBase)}
+	return contentVersion{AsOf: content.AsOf, Digest: formatDigest(content.Digest)}
 }
 
+func formatDigest(digest uint64) string { return strconv.FormatUint(digest, digestBase) }
+
 // content returns what the sender's mirror was proven to contain. It reports false if the sender does not say so.
 func (proof proof) content() (mirror.Proof, bool) {
 	digest, err := strconv.ParseUint(proof.Digest, digestBase, 64)
