Hosts ask relays of their data centre for proofs of tables

Above 40 hosts, all hosts would ask the readers of the tables, most of them in other data centres. Relays ask 0.3 s earlier than others, and the others ask a relay for all tables at once.

--- a/io/coord/compact.go
+++ b/io/coord/compact.go
@@ -140,4 +140,3 @@
 	}
 	return proofs
 }
-
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -10,6 +10,8 @@
 	"lentilproxy/core/mirror"
 	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -28,6 +30,10 @@
 	maxRetry = 400 * time.Millisecond
 	// maxAskWait is the wait of a host that asks no peers for proofs. Within it, the number of hosts may grow.
 	maxAskWait = time.Second
+	// relayAskLead is how much earlier than other hosts a relay asks for a proof, so that it has a recent one for them.
+	relayAskLead = 300 * time.Millisecond
+	// askTogether is how much younger the proofs of further tables may be that a relay is asked for at the same time.
+	askTogether = 200 * time.Millisecond
 	// lapseGrace is the time after an outage of the store in which running servers register again.
 	lapseGrace = 2200 * time.Millisecond
 	// minOutage is the shortest outage of the store during which registrations of running servers may have expired.
@@ -170,25 +176,56 @@
 
 // askForProof asks a peer for a proof if the last one is old. It returns the time until the host should ask again.
 func (control *control) askForProof(now time.Time, table *tableMirror) time.Duration {
+	age, wait := control.timeUntilAsk(now, table)
+	if wait > 0 {
+		return wait
+	}
+	if peer, params := control.planAsk(now, table, age); peer != nil {
+		go control.pullRows(peer, params)
+	}
+	return mirror.AskInterval
+}
+
+// timeUntilAsk returns the age of a proof from which on this host asks for one, and the time until it should ask.
+func (control *control) timeUntilAsk(now time.Time, table *tableMirror) (age, wait time.Duration) {
 	hosts := len(control.peers) + 1
 	age, asks := mirror.AskAge(control.readAge(table, hosts), hosts)
 	if !asks {
-		return maxAskWait
+		return age, maxAskWait
 	}
-	wait := max(table.provenAt.Add(age).Sub(now), table.askedAt.Add(mirror.AskInterval).Sub(now))
-	if wait > 0 {
-		return wait
+	if control.relays.topology.Relay {
+		age -= relayAskLead
 	}
-	if table.pulling {
-		return minRetry
+	wait = max(table.provenAt.Add(age).Sub(now), table.askedAt.Add(mirror.AskInterval).Sub(now))
+	if wait <= 0 && table.pulling {
+		wait = minRetry
 	}
+	return age, wait
+}
+
+// planAsk returns the peer to ask for a proof of a table, and what to ask for. If messages stay within data centres, hosts ask the relays
+// of theirs, for all tables whose proofs are about as old, and only the relays ask the readers. Otherwise the readers, which are mostly
+// in other data centres, would be asked by all hosts.
+func (control *control) planAsk(now time.Time, table *tableMirror, age time.Duration) (*peerState, rowsParams) {
+	params := rowsParams{After: map[string]int64{table.name: table.CompleteTo()}}
 	name := mirror.Asked(table.name, control.coordinator.settings.Host.Name, control.reachablePeers(now), table.asks)
+	relay, found := control.relayToAsk(table.asks)
+	if found {
+		name = relay
+	}
 	table.askedAt, table.asks = now, table.asks+1
-	if peer := control.peers[name]; peer != nil {
-		table.pulling = true
-		go control.pullRows(peer, rowsParams{After: map[string]int64{table.name: table.CompleteTo()}})
+	peer := control.peers[name]
+	if peer == nil {
+		return nil, params
 	}
-	return mirror.AskInterval
+	table.pulling = true
+	for _, other := range control.tables() {
+		if found && !other.pulling && now.Sub(other.provenAt) >= age-askTogether {
+			other.askedAt, other.pulling = now, true
+			params.After[other.name] = other.CompleteTo()
+		}
+	}
+	return peer, params
 }
 
 // reachablePeers returns the peers that have responded to the last call. If fewer than half of them have, this host may be the one
@@ -208,6 +245,16 @@
 	return names
 }
 
+// relayToAsk returns the relay of the own data centre that this host asks for a proof after a number of attempts, if it asks one.
+func (control *control) relayToAsk(attempts int) (string, bool) {
+	topology, host := control.relays.topology, control.coordinator.settings.Host
+	relays := topology.Relays[host.DataCentre]
+	if topology.Relay || attempts >= mirror.Readers || len(relays) == 0 {
+		return "", false
+	}
+	return relays[(int(xxhash.Sum64String(host.Name)%mirror.Readers)+attempts)%len(relays)], true
+}
+
 // rank returns the number of reachable hosts that precede this one in the order of readers of a table.
 func (control *control) rank(now time.Time, table *tableMirror) int {
 	return mirror.Rank(table.name, control.coordinator.settings.Host.Name, control.reachablePeers(now))
--- a/io/coord/region_bytes_test.go
+++ b/io/coord/region_bytes_test.go
@@ -46,29 +46,33 @@
 			const seconds = 10
 			simulated := newSimulated(t, test.hosts, test.dataCentres, test.servers)
 			simulated.readTables()
+			for _, host := range simulated.hosts {
+				simulated.ask(host)
+			}
 			simulated.work(100, 5)
 			simulated.advance(6 * time.Second)
 			begun := 0.0
 			for _, host := range simulated.hosts {
 				begun = max(begun, float64(host.sent)/6)
-				host.sent, host.sentFar, host.messages = 0, 0, 0
+				host.sent, host.sentFar, host.messages, host.asks = 0, 0, 0, 0
 			}
 			var ages []time.Duration
-			for range seconds * 2 {
-				simulated.advance(500 * time.Millisecond)
+			for range 25 {
+				simulated.advance(seconds * time.Second / 25)
 				for _, host := range simulated.hosts {
 					ages = append(ages, simulated.now.Sub(host.control.servers.provenAt))
 				}
 			}
 			slices.Sort(ages)
-			sum, far, busiest, messages := 0.0, 0.0, 0.0, 0.0
+			sum, far, busiest, messages, asks := 0.0, 0.0, 0.0, 0.0, 0.0
 			for _, host := range simulated.hosts {
 				sum, far, messages = sum+float64(host.sent), far+float64(host.sentFar), messages+float64(host.messages)
+				asks += float64(host.asks)
 				busiest = max(busiest, float64(host.sent)/seconds)
 			}
 			mean := sum / seconds / float64(test.hosts)
-			t.Logf("%.1f kB/s sent by a host, %.1f of it to other data centres, %.1f by the busiest, %.1f in the first 6 s; %.0f messages a second; age of proofs: median %v, 99%% %v",
-				mean/1000, far/seconds/float64(test.hosts)/1000, busiest/1000, begun/1000, messages/seconds/float64(test.hosts), ages[len(ages)/2], ages[len(ages)*99/100])
+			t.Logf("%.1f kB/s sent by a host, %.1f of it to other data centres, %.1f by the busiest, %.1f in the first 6 s; %.0f messages and %.1f questions for proofs a second; age of proofs: median %v, 99%% %v",
+				mean/1000, far/seconds/float64(test.hosts)/1000, busiest/1000, begun/1000, messages/seconds/float64(test.hosts), asks/seconds/float64(test.hosts), ages[len(ages)/2], ages[len(ages)*99/100])
 			if mean > test.mean {
 				t.Fatalf("%.0f bytes a second", mean)
 			}
--- a/io/coord/region_test.go
+++ b/io/coord/region_test.go
@@ -14,6 +14,7 @@
 	"lentilproxy/core/gossip"
 	"lentilproxy/core/lease"
 	"lentilproxy/core/limit"
+	"lentilproxy/core/mirror"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/setup"
 	"lentilproxy/core/slots"
@@ -45,6 +46,7 @@
 	// sent and sentFar are the bytes sent, in total and to other data centres.
 	sent, sentFar int
 	messages      int
+	asks          int
 }
 
 type event struct {
@@ -159,13 +161,15 @@
 // simulatedVersion is the version of the tables, which have no rows.
 const simulatedVersion = 12345678
 
-// readTables lets two hosts read the tables of operators and servers regularly, as their readers.
+// readTables lets the readers of the tables of operators and servers read them regularly.
 func (simulated *simulated) readTables() {
 	simulated.after(500*time.Millisecond, simulated.readTables)
-	for _, host := range simulated.hosts[:2] {
+	for _, host := range simulated.hosts {
 		for _, table := range []*tableMirror{host.control.operators, host.control.servers} {
-			table.Apply(lentilproxy.Page{Version: simulatedVersion + simulated.now.UnixMilli()%1e6})
-			table.provenAt = simulated.now
+			if !host.paused && host.control.rank(simulated.now, table) < mirror.Readers {
+				table.Apply(lentilproxy.Page{Version: simulatedVersion + simulated.now.UnixMilli()%1e6})
+				table.provenAt = simulated.now
+			}
 		}
 	}
 }
@@ -200,6 +204,33 @@
 	control.divideLimits(simulated.now)
 }
 
+// ask asks for proofs of the tables of operators and servers that are old.
+func (simulated *simulated) ask(host *simulatedHost) {
+	simulated.after(20*time.Millisecond, func() { simulated.ask(host) })
+	control := host.control
+	for _, table := range []*tableMirror{control.operators, control.servers} {
+		age, wait := control.timeUntilAsk(simulated.now, table)
+		if wait > 0 {
+			continue
+		}
+		asked, params := control.planAsk(simulated.now, table, age)
+		if asked == nil {
+			continue
+		}
+		host.asks++
+		to, sentAt := simulated.byName[asked.name], simulated.now
+		simulated.encode(host, to, params)
+		simulated.after(simulated.delay(host, to), func() {
+			response := simulated.encode(to, host, to.control.composeRows(simulated.now, params))
+			simulated.after(simulated.delay(to, host), func() {
+				var result rowsResult
+				simulated.decode(response, &result)
+				control.endPull(simulated.now, sentAt, asked, params, result, nil)
+			})
+		})
+	}
+}
+
 func (simulated *simulated) call(host *simulatedHost, due *peerState) {
 	control, to, sentAt := host.control, simulated.byName[due.name], simulated.now
 	message, revisions := control.composeCall(sentAt, due)
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -136,7 +136,9 @@
 
 // statesItself reports whether messages to a peer contain this host's own state. Peers in other data centres get it from relays,
 // unless they are of the previous version or count fewer hosts.
-func (control *control) statesItself(peer *peerState) bool { return !control.remote(peer) || !peer.regional }
+func (control *control) statesItself(peer *peerState) bool {
+	return !control.remote(peer) || !peer.regional
+}
 
 // support returns what a message to a peer says about this host's version.
 func (control *control) support(peer *peerState) regionSupport {
--- a/io/coord/rows.go
+++ b/io/coord/rows.go
@@ -145,32 +145,35 @@
 	requestedAt := clock.Now()
 	var result rowsResult
 	err := coordinator.peers.Call(ctx, peer.address, methodRows, params, &result)
-	coordinator.post(func(now time.Time) {
-		for _, table := range control.tables() {
-			if _, requested := params.After[table.name]; requested {
-				table.pulling = false
-			}
+	coordinator.post(func(now time.Time) { control.endPull(now, requestedAt, peer, params, result, err) })
+}
+
+// endPull applies the response to a request for rows that was sent at requestedAt.
+func (control *control) endPull(now, requestedAt time.Time, peer *peerState, params rowsParams, result rowsResult, err error) {
+	for _, table := range control.tables() {
+		if _, requested := params.After[table.name]; requested {
+			table.pulling = false
 		}
-		if err != nil {
-			return
+	}
+	if err != nil {
+		return
+	}
+	for _, table := range control.tables() {
+		rows, requested := result.Rows[table.name]
+		if !requested {
+			continue
 		}
-		for _, table := range control.tables() {
-			rows, requested := result.Rows[table.name]
-			if !requested {
-				continue
-			}
-			known, _ := control.proofOf(result.Proofs, table)
-			changed, whole, proven := result.merge(table, rows, known)
-			if changed && table.name != control.fleet.name {
-				coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.CompleteTo())
-			}
-			provenAt := table.provenAt
-			if proven {
-				provenAt = known.provenAt(requestedAt)
-			}
-			control.applyProof(now, provenAt, table, changed)
+		known, _ := control.proofOf(result.Proofs, table)
+		changed, whole, proven := result.merge(table, rows, known)
+		if changed && table.name != control.fleet.name {
+			control.coordinator.log.Info("rows from a peer", "peer", peer.name, "table", table.name, "rows", len(rows), "whole", whole, "version", table.CompleteTo())
+		}
+		provenAt := table.provenAt
+		if proven {
+			provenAt = known.provenAt(requestedAt)
 		}
-	})
+		control.applyProof(now, provenAt, table, changed)
+	}
 }
 
 // merge applies rows of a table, which may be all of them. It reports whether a row of the mirror changed, and whether the proof of
@@ -207,17 +210,20 @@
 
 func (control *control) rowsSince(params rowsParams) rowsResult {
 	var result rowsResult
-	control.coordinator.do(func(now time.Time) {
-		result = rowsResult{Rows: map[string][]lentilproxy.Row{}, Whole: map[string]int64{}, Proofs: control.proofs(now)}
-		for _, table := range control.tables() {
-			if after, requested := params.After[table.name]; requested {
-				page, whole := table.Since(after)
-				result.Rows[table.name] = page.Rows
-				if whole {
-					result.Whole[table.name] = page.Version
-				}
+	control.coordinator.do(func(now time.Time) { result = control.composeRows(now, params) })
+	return result
+}
+
+func (control *control) composeRows(now time.Time, params rowsParams) rowsResult {
+	result := rowsResult{Rows: map[string][]lentilproxy.Row{}, Whole: map[string]int64{}, Proofs: control.proofs(now)}
+	for _, table := range control.tables() {
+		if after, requested := params.After[table.name]; requested {
+			page, whole := table.Since(after)
+			result.Rows[table.name] = page.Rows
+			if whole {
+				result.Whole[table.name] = page.Version
 			}
 		}
-	})
+	}
 	return result
 }
