--- a/io/coord/region.go
+++ b/io/coord/region.go
@@ -322,14 +322,12 @@
 func (stream *regionStream) apply(message *regionMessage) bool {
 	base, next := regionPosition(message.At[:3]), regionPosition{message.At[0], message.At[3], message.At[4]}
 	if base.epoch() != stream.position.epoch() {
-		if base.usage() != 0 || base.loaded() != 0 {
-			return false
-		}
-		*stream = regionStream{position: base}
+		*stream = regionStream{position: regionPosition{base.epoch()}}
 	}
 	if base.usage() > stream.position.usage() || base.loaded() > stream.position.loaded() {
 		return false
 	}
+	// A base of 0 stands for an empty state.
 	usage, loaded := stream.position.usage(), stream.position.loaded()
 	if base.usage() == 0 && next.usage() > 0 || stream.usage == nil {
 		stream.usage, usage = map[string]sched.Usage{}, 0
@@ -337,16 +335,7 @@
 	if base.loaded() == 0 && next.loaded() > 0 || stream.servers == nil {
 		stream.servers, loaded, stream.complete = map[string]*regionServer{}, 0, false
 	}
-	if len(message.decoded.Usage) > 0 {
-		stream.usage = maps.Clone(stream.usage)
-	}
-	for server, values := range message.decoded.Usage {
-		if len(values) == 0 {
-			delete(stream.usage, server)
-			continue
-		}
-		stream.usage[server] = sched.ExpandUsage(values)
-	}
+	stream.applyUsage(message.decoded.Usage)
 	for name, change := range message.decoded.Loaded {
 		stream.applyLoaded(name, change)
 	}
@@ -355,6 +344,17 @@
 	return true
 }
 
+func (stream *regionStream) applyUsage(changes map[string][]int64) {
+	if len(changes) > 0 {
+		stream.usage = maps.Clone(stream.usage)
+	}
+	for server, values := range changes {
+		if stream.usage[server] = sched.ExpandUsage(values); len(values) == 0 {
+			delete(stream.usage, server)
+		}
+	}
+}
+
 func (stream *regionStream) applyLoaded(name string, change *serverChange) {
 	if change.Gone {
 		delete(stream.servers, name)
