--- a/io/coord/region_test.go
+++ b/io/coord/region_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"lentilproxy/core/sched"
+	"lentilproxy/core/spec"
+
+	"github.com/matryer/is"
 )
 
 // mostStale is the longest time that a change may take to all hosts: two periods of exchanges in data centres, each rounded up by an
@@ -160,3 +163,38 @@
 		t.Logf("a change of host %d is known after %v", changing, took)
 	}
 }
+
+// Guards against hosts that call hosts of other data centres without need, and against lease holders in other data centres that are not
+// told of requests for their servers, or not of their ends.
+func TestHostsReportToLeaseHoldersInOtherDataCentres(t *testing.T) {
+	is := is.New(t)
+	simulated := newSimulated(t, 60, 3, 60)
+	simulated.advance(8 * time.Second)
+	caller, holder := simulated.hosts[3], simulated.hosts[4]
+	if caller.control.acting(simulated.now) {
+		caller = simulated.hosts[6]
+	}
+	calls, running, demand := 0, 0, 0.0
+	simulated.onCall = func(from, to *simulatedHost, message gossipMessage) {
+		if from == caller && to.dataCentre != caller.dataCentre {
+			is.Equal(to, holder)
+			is.Equal(message.UsageChanges, nil)
+			calls, running = calls+1, message.Running["engine-0004"]["workspace-028/adapter-00"]
+			demand += message.Demand["engine-0004"]["workspace-028/adapter-00"]
+		}
+	}
+	simulated.advance(5 * time.Second)
+	is.Equal(calls, 0)
+	run := caller.control.coordinator.traffic.Start(simulated.now, simulated.servers["engine-0004"], sched.Job{Ref: spec.AdapterRef{Adapter: "workspace-028/adapter-00"}})
+	end := caller.control.coordinator.traffic.CountUse(run)
+	simulated.advance(4 * time.Second)
+	t.Logf("%d calls while the request runs", calls)
+	is.True(calls >= 4 && calls <= 8)
+	is.Equal(running, 1)
+	is.Equal(demand, 1.0)
+	end()
+	calls = 0
+	simulated.advance(4 * time.Second)
+	is.Equal(calls, 1)
+	is.Equal(running, 0)
+}
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -20,6 +20,9 @@
 	skipFor = 5 * time.Second
 	// skipPreviousFor is how long a host of the previous version, which cannot be a relay, is skipped.
 	skipPreviousFor = time.Minute
+	// holderReportInterval is the time between two reports of running requests to a lease holder in another data centre. A report is
+	// valid for 2.5 s (core/slots).
+	holderReportInterval = time.Second
 	// actingFor is how long a host that a relay of another data centre has called acts as a relay.
 	actingFor = 5 * relayInterval
 )
@@ -387,31 +390,30 @@
 	return peers
 }
 
-// reportedHolders returns the lease holders in other data centres to which this host has to report requests now: started or running
-// ones, or once that none are running any more. Relays report to each other in their exchanges.
+// reportedHolders returns the lease holders in other data centres to which this host has to report requests now: at once those that
+// have started, or once that none are running any more, and regularly those that are running. Relays report in their exchanges.
 func (control *control) reportedHolders(now time.Time) []*peerState {
-	due := map[string]*peerState{}
-	add := func(server string) {
-		if holder, found := control.registry.Holder(server); found {
-			if peer := control.peers[holder.Name]; peer != nil && control.remote(peer) && !control.isRelayed(peer) {
-				due[peer.name] = peer
-			}
+	intervals := map[string]time.Duration{}
+	report := func(server string, interval time.Duration) {
+		holder, _ := control.registry.Holder(server)
+		if peer := control.peers[holder.Name]; peer != nil && control.remote(peer) && !control.isRelayed(peer) {
+			intervals[peer.name] = interval
 		}
 	}
-	for server := range control.pendingDemand {
-		add(server)
-	}
-	for server := range control.running {
-		add(server)
-	}
 	for name, peer := range control.peers {
 		if peer.reportedRunning && control.remote(peer) && !control.isRelayed(peer) {
-			due[name] = peer
+			intervals[name] = control.gossip.Period()
 		}
 	}
+	for server := range control.running {
+		report(server, holderReportInterval)
+	}
+	for server := range control.pendingDemand {
+		report(server, control.gossip.Period())
+	}
 	var peers []*peerState
-	for _, name := range value.Sorted(due) {
-		if peer := due[name]; now.Sub(peer.calledAt) >= control.gossip.Period() {
+	for _, name := range value.Sorted(intervals) {
+		if peer := control.peers[name]; now.Sub(peer.calledAt) >= intervals[name] {
 			peers = append(peers, peer)
 		}
 	}
--- a/io/coord/simulated_test.go
+++ b/io/coord/simulated_test.go
@@ -37,6 +37,8 @@
 	servers map[string]spec.Server
 	random  *rand.Rand
 	cut     func(from, to *simulatedHost) bool
+	// onCall is called for each gossip call.
+	onCall func(from, to *simulatedHost, message gossipMessage)
 }
 
 type simulatedHost struct {
@@ -245,6 +247,9 @@
 	message, revisions := control.composeCall(sentAt, due)
 	host.strip(&message)
 	encoded := simulated.encode(host, to, message.wire())
+	if simulated.onCall != nil {
+		simulated.onCall(host, to, message)
+	}
 	fail := func() {
 		if control == host.control {
 			control.endExchange(simulated.now, sentAt, due, message, revisions, gossipResult{}, errors.New("no response"))
--- a/io/coord/store_test.go
+++ b/io/coord/store_test.go
@@ -145,9 +145,10 @@
 	return server, err
 }
 
-// startHosts starts coordinators that share a store.
-func startHosts(t *testing.T, store *countingStore, hosts int) []*Coordinator {
+// startHosts starts coordinators that share a store, in data centres by turns.
+func startHosts(t *testing.T, store *countingStore, hosts int, dataCentres ...string) []*Coordinator {
 	t.Helper()
+	dataCentres = append(dataCentres, "")
 	var coordinators []*Coordinator
 	for number := range hosts {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -155,7 +156,7 @@
 			t.Fatal(err)
 		}
 		name := fmt.Sprintf("host-%02d", number)
-		settings := &setup.Settings{Host: setup.Host{Name: name}, Bounds: setup.DefaultBounds()}
+		settings := &setup.Settings{Host: setup.Host{Name: name, DataCentre: dataCentres[number%max(1, len(dataCentres)-1)]}, Bounds: setup.DefaultBounds()}
 		settings.Listen.AdvertisePeers = listener.Addr().String()
 		coordinator := New(settings, Platform{Store: &hostStore{countingStore: store, host: name}, Decoder: &jsonDecoder{}, Orders: noOrders{}}, listener)
 		t.Cleanup(coordinator.Kill)
