--- a/core/limit/membership_test.go
+++ b/core/limit/membership_test.go
@@ -210,3 +210,21 @@
 	_, outcome := limiter.Charge(start.Add(status.RetryAfter(5)), "w", 5)
 	is.Equal(outcome, Charged)
 }
+
+// Guards against a host that uses a larger share since it hears less of other data centres: their counts of members may only make its
+// share smaller, also after contact to them is lost.
+func TestCountsOfDataCentresNeverRaiseTheShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	membership := NewMembership("h0")
+	membership.ApplyScan(now, []string{"h0", "h1"}, nil)
+	now = now.Add(2 * scanTTL) // The store is unavailable.
+	alone := membership.Fraction(now)
+	membership.RecordCount(now, "dc-2", 1)
+	is.Equal(membership.Fraction(now), alone)
+	membership.RecordCount(now, "dc-2", 50)
+	is.Equal(membership.Members(now), 50)
+	is.True(membership.Fraction(now) < alone)
+	is.Equal(membership.Members(now.Add(knownHostTTL/2)), 50)
+	is.True(membership.Isolated(now))
+}
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -195,6 +195,7 @@
 			}
 			control.divideLimits(now)
 			control.reportEvacuations(now)
+			control.reportRegions(now)
 			coordinator.traffic.exchangeLoans(now)
 			for _, ejection := range coordinator.traffic.takeEjections() {
 				coordinator.log.Info("server avoided for its errors", "server", ejection.Server, "for_ms", ejection.Duration.Milliseconds(),
--- a/io/coord/region.go
+++ b/io/coord/region.go
@@ -67,6 +67,8 @@
 	loaded  *gossip.Record[loadedKey, loadedValue]
 	servers map[string]*regionServer
 	encoded map[changesKey]encodedChanges
+	// published is the last statement whose state is in the records.
+	published gossip.Statement
 }
 
 // loadedKey is a server, or an adapter on a server.
@@ -169,6 +171,10 @@
 		}
 		region.outbox = outbox
 	}
+	if outbox.published == region.Statement {
+		return outbox
+	}
+	outbox.published = region.Statement
 	before := outbox.position()
 	for server, usage := range region.usage {
 		outbox.usage.Set(server, coarseUsage(usage))
@@ -180,7 +186,9 @@
 	}
 	// Hosts need to know first which servers take orders, and from whom.
 	for name, server := range region.servers {
-		outbox.loaded.Set(loadedKey{server: name}, server.head())
+		if outbox.servers[name] != server {
+			outbox.loaded.Set(loadedKey{server: name}, server.head())
+		}
 	}
 	for name, server := range region.servers {
 		if outbox.servers[name] != server {
@@ -316,6 +324,8 @@
 	// usage is replaced as a whole; servers is not.
 	usage   map[string]sched.Usage
 	servers map[string]*regionServer
+	// updatedAt is when the last changes arrived.
+	updatedAt time.Time
 }
 
 // apply applies the changes in a message. It reports false if they refer to a state that this host does not have.
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -23,6 +23,10 @@
 	// holderReportInterval is the time between two reports of running requests to a lease holder in another data centre. A report is
 	// valid for 2.5 s (core/slots).
 	holderReportInterval = time.Second
+	// streamLifetime is how long the state that a peer has sent is kept after its last message with changes.
+	streamLifetime = 30 * time.Second
+	// regionReportTicks is the number of gossip intervals between two updates of the gauges about relays.
+	regionReportTicks = 5
 	// actingFor is how long a host that a relay of another data centre has called acts as a relay.
 	actingFor = 5 * relayInterval
 )
@@ -81,6 +85,7 @@
 		}
 	}
 	if !next.Regional {
+		control.coordinator.metrics.Gauge("relay").Update(0)
 		control.relays.own = newRegion()
 		for _, peer := range control.peers {
 			peer.streams, peer.positions = nil, nil
@@ -243,6 +248,10 @@
 		return
 	}
 	for dataCentre, stream := range peer.streams {
+		if now.Sub(stream.updatedAt) >= streamLifetime {
+			delete(peer.streams, dataCentre) // The peer is no relay any more.
+			continue
+		}
 		if message.RegionsReceived == nil {
 			message.RegionsReceived = map[string]regionPosition{}
 		}
@@ -258,6 +267,7 @@
 			control.addRegion(now, peer, message, dataCentre, control.relays.regions[dataCentre], &most)
 		}
 	case !control.remote(peer):
+		control.relays.own.outbox = nil
 		for _, region := range control.relays.regions {
 			region.outbox = nil
 		}
@@ -310,6 +320,7 @@
 			peer.streams[dataCentre] = stream
 		}
 		if stream.apply(update) {
+			stream.updatedAt = now
 			statement := gossip.Statement{Source: update.Source, Stamp: update.Stamp, AsOf: sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond)}
 			control.acceptRegion(now, dataCentre, statement, stream, update)
 		}
@@ -428,3 +439,19 @@
 	}
 	return max(0, now.Sub(time.Unix(0, message.ReceivedID))-2*control.gossip.Period()-2*gossipInterval-callTimeout)
 }
+
+// reportRegions updates the gauges about relays.
+func (control *control) reportRegions(now time.Time) {
+	if !control.relays.topology.Regional || control.relays.ticks%regionReportTicks != 0 {
+		return
+	}
+	acting := 0.0
+	if control.acting(now) {
+		acting = 1
+	}
+	metrics := control.coordinator.metrics
+	metrics.Gauge("relay").Update(acting)
+	for dataCentre, region := range control.relays.regions {
+		metrics.Tagged(map[string]string{"data_centre": dataCentre}).Gauge("region_age_ms").Update(float64(now.Sub(region.AsOf).Milliseconds()))
+	}
+}
