--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -112,6 +112,8 @@
 	// streams holds the states of data centres that the peer sends, and positions what the peer has of those that this host sends.
 	streams   map[string]*regionStream
 	positions map[string]regionPosition
+	// passedAt is when this host, as a relay, last sent the peer the states of other data centres.
+	passedAt time.Time
 	// regionsID is the ID of the last message from the peer with states of data centres.
 	regionsID int64
 	// members is the number of members that the peer counted in its last message, at heardAt.
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -23,6 +23,9 @@
 	// holderReportInterval is the time between two reports of running requests to a lease holder in another data centre. A report is
 	// valid for 2.5 s (core/slots).
 	holderReportInterval = time.Second
+	// passInterval is the least time between two messages of a relay with the states of other data centres to a host of its own. Both
+	// relays of the data centre send them.
+	passInterval = 700 * time.Millisecond
 	// streamLifetime is how long the state that a peer has sent is kept after its last message with changes.
 	streamLifetime = 30 * time.Second
 	// regionReportTicks is the number of gossip intervals between two updates of the gauges about relays.
@@ -171,12 +174,13 @@
 }
 
 // regionDelay is the longest time that a report takes through the relays to a host of another data centre: a period in each of the
-// data centres, and the exchange between them.
+// data centres, or passInterval in the second one, and the exchange between them.
 func (control *control) regionDelay() time.Duration {
 	if !control.relays.topology.Regional {
 		return 0
 	}
-	return 2*control.gossip.PeriodOf(control.relays.topology.MostPeers) + relayInterval
+	period := control.gossip.PeriodOf(control.relays.topology.MostPeers)
+	return period + relayInterval + max(period, passInterval)
 }
 
 // gossipDelay returns the time within which hosts report their requests and loaded adapters to each other.
@@ -263,6 +267,10 @@
 		control.refreshOwnRegion(now)
 		control.addRegion(now, peer, message, control.coordinator.settings.Host.DataCentre, control.relays.own, &most)
 	case !control.remote(peer) && control.acting(now):
+		if now.Sub(peer.passedAt) < passInterval {
+			return
+		}
+		peer.passedAt = now
 		for _, dataCentre := range value.Sorted(control.relays.regions) {
 			control.addRegion(now, peer, message, dataCentre, control.relays.regions[dataCentre], &most)
 		}
