--- a/io/coord/region.go
+++ b/io/coord/region.go
@@ -22,7 +22,7 @@
 	// hosts would exceed what a relay's link carries within callTimeout; the rest follows in the next messages.
 	maxLoadedChanges = 2000
 	// minPacked is the size in bytes from which on changes are compressed. Names of servers and adapters repeat.
-	minPacked = 400
+	minPacked = 200
 	// maxUnpacked bounds the size in bytes of changes after decompression.
 	maxUnpacked = 16 << 20
 	// usageBits is the number of leading bits of a sum of usage that are passed on. Smaller changes, by less than 7%, are not sent.
