Parts of the state of a data centre do not replace what is known of its servers

Until a relay had sent the whole state, a server without its adapters could replace the known one. All of a server now comes in a row, parts only add adapters, and the two relays begin with different data centres.

--- a/io/coord/region.go
+++ b/io/coord/region.go
@@ -20,7 +20,7 @@
 const (
 	// maxLoadedChanges bounds the changes of loaded adapters in a message, over all data centres. Their number after a start of all
 	// hosts would exceed what a relay's link carries within callTimeout; the rest follows in the next messages.
-	maxLoadedChanges = 2000
+	maxLoadedChanges = 3000
 	// minPacked is the size in bytes from which on changes are compressed. Names of servers and adapters repeat.
 	minPacked = 200
 	// maxUnpacked bounds the size in bytes of changes after decompression.
@@ -42,6 +42,20 @@
 		server.update.StartedMillis == other.update.StartedMillis && sameLoaded(server.update.Loaded, other.update.Loaded)
 }
 
+// with returns the server with the adapters that are known of it too. A part of a state does not show that an adapter was removed.
+func (server *regionServer) with(known *regionServer) *regionServer {
+	if known == nil || known == server || known.update.StartedMillis != server.update.StartedMillis {
+		return server
+	}
+	merged := *server
+	merged.update.Loaded.Adapters = maps.Clone(known.update.Loaded.Adapters)
+	if merged.update.Loaded.Adapters == nil {
+		merged.update.Loaded.Adapters = map[string]int64{}
+	}
+	maps.Copy(merged.update.Loaded.Adapters, server.update.Loaded.Adapters)
+	return &merged
+}
+
 // region is the state of a data centre as this host knows it: the sum of the usage by its hosts, and what the servers that they hold
 // have loaded.
 type region struct {
@@ -184,14 +198,10 @@
 			outbox.usage.Delete(server)
 		}
 	}
-	// Hosts need to know first which servers take orders, and from whom.
+	// All of a server comes in a row, so that a message that contains a part of the changes has it whole.
 	for name, server := range region.servers {
 		if outbox.servers[name] != server {
 			outbox.loaded.Set(loadedKey{server: name}, server.head())
-		}
-	}
-	for name, server := range region.servers {
-		if outbox.servers[name] != server {
 			outbox.setAdapters(name, server)
 		}
 	}
@@ -396,12 +406,18 @@
 	region.usage = stream.usage
 	changed := map[string]*regionServer{}
 	for name, server := range stream.servers {
-		switch known := region.servers[name]; {
+		known := region.servers[name]
+		if !stream.complete {
+			server = server.with(known)
+		}
+		switch {
 		case known == server:
 		case server.holder == "":
 			// The description of the server follows in a later message.
 		case known.equal(server):
-			stream.servers[name] = known // Both relays state the same; it is kept once.
+			if stream.complete {
+				stream.servers[name] = known // Both relays state the same; it is kept once.
+			}
 		default:
 			region.servers[name], changed[name] = server, server
 		}
--- a/io/coord/region_test.go
+++ b/io/coord/region_test.go
@@ -7,6 +7,7 @@
 
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
+	"lentilproxy/io/clock"
 
 	"github.com/matryer/is"
 )
@@ -198,3 +199,31 @@
 	is.Equal(calls, 1)
 	is.Equal(running, 0)
 }
+
+// Guards against messages of relays that do not arrive over real connections.
+func TestRelaysOverConnections(t *testing.T) {
+	is := is.New(t)
+	const hosts = 44
+	store := newCountingStore()
+	store.put("servers/s1", `{"Slots": 1, "StartedMillis": 7}`)
+	coordinators := startHosts(t, store, hosts, "dc-0", "dc-1")
+	is.True(slowest(coordinators, "s1", 1) < 4*time.Second)
+	time.Sleep(5 * time.Second)
+	is.True(coordinators[1].do(func(time.Time) { is.True(coordinators[1].traffic.control.relays.topology.Regional) }))
+	server := coordinators[0].View().Servers["s1"]
+	coordinators[0].traffic.Start(clock.Now(), server, sched.Job{})
+	known := 0
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && known < hosts; time.Sleep(50 * time.Millisecond) {
+		known = 0
+		for _, coordinator := range coordinators {
+			explanation := coordinator.traffic.Explain(clock.Now(), spec.Service{}, &spec.View{Servers: map[string]spec.Server{"s1": server}}, sched.Job{})
+			if len(explanation.Servers) == 1 && explanation.Servers[0].Running == 1 {
+				known++
+			}
+		}
+	}
+	is.Equal(known, hosts)
+	for _, coordinator := range coordinators {
+		is.Equal(coordinator.traffic.hostCount(), hosts)
+	}
+}
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -271,7 +271,11 @@
 			return
 		}
 		peer.passedAt = now
-		for _, dataCentre := range value.Sorted(control.relays.regions) {
+		dataCentres := value.Sorted(control.relays.regions)
+		if relays := control.relays.topology.Relays[control.coordinator.settings.Host.DataCentre]; relays[0] != message.Host {
+			slices.Reverse(dataCentres) // While much is to be sent, the relays send different parts.
+		}
+		for _, dataCentre := range dataCentres {
 			control.addRegion(now, peer, message, dataCentre, control.relays.regions[dataCentre], &most)
 		}
 	case !control.remote(peer):
