--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -322,7 +322,9 @@
 		return message, revisions // It only reports requests.
 	}
 	message.NewestVersions, message.Contents = map[string]int64{}, control.contents()
-	message.ContentsHash = control.contentsHash(message.Contents)
+	if message.compact {
+		message.ContentsHash = control.contentsHash(message.Contents)
+	}
 	for _, table := range control.tables() {
 		if table != control.fleet && !peer.sendsContents {
 			message.NewestVersions[table.name] = table.CompleteTo()
