--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -183,6 +183,12 @@
 	return period + relayInterval + max(period, passInterval)
 }
 
+// regionLife is how much longer than the report of a peer the sum of a data centre counts: its oldest part may be as old as a report
+// that just counts, and it is replaced a period after it has arrived.
+func (control *control) regionLife() time.Duration {
+	return control.regionDelay() + max(control.gossip.Period(), passInterval) + gossipInterval
+}
+
 // gossipDelay returns the time within which hosts report their requests and loaded adapters to each other.
 func (control *control) gossipDelay() time.Duration {
 	return max(control.gossip.Period(), control.regionDelay())
@@ -365,7 +371,7 @@
 			hosts = append(hosts, name)
 		}
 	}
-	control.coordinator.traffic.applyRegion(now, dataCentre, hosts, known, control.regionDelay(), changed)
+	control.coordinator.traffic.applyRegion(now, dataCentre, hosts, known, control.regionLife(), changed)
 }
 
 // regionReapplyInterval is the time after which what the servers of a data centre have loaded is applied again.
@@ -379,7 +385,7 @@
 // regionCounts reports whether the sum of the usage of a data centre counts now, so that reports of its hosts do not.
 func (control *control) regionCounts(now time.Time, dataCentre string) bool {
 	known := control.relays.regions[dataCentre]
-	return known != nil && now.Sub(known.AsOf) < sched.UsageLifetime+control.regionDelay()
+	return known != nil && now.Sub(known.AsOf) < sched.UsageLifetime+control.regionLife()
 }
 
 // silentHosts returns the hosts of other data centres that do not respond to their relays.
