--- a/core/sched/cost.go
+++ b/core/sched/cost.go
@@ -143,7 +143,7 @@
 // replace those that have ended.
 func (state *serverState) remainingWork(now time.Time, each time.Duration) time.Duration {
 	work, known := state.ownWork(now)
-	for _, usage := range state.reported(now) {
+	for usage := range state.reported(now) {
 		if usage.WorkMillis > 0 {
 			work += time.Duration(usage.WorkMillis) * time.Millisecond
 			known += usage.Running
--- a/core/sched/region.go
+++ b/core/sched/region.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"iter"
 	"time"
 
 	"lentilproxy/core/value"
@@ -53,17 +54,17 @@
 }
 
 // reported returns the usage by the requests of other hosts that have reported it, by peer or data centre.
-func (state *serverState) reported(now time.Time) []Usage {
-	usages := make([]Usage, 0, len(state.peers)+len(state.regions))
-	for _, peer := range state.peers {
-		if now.Sub(peer.at) < UsageLifetime {
-			usages = append(usages, peer.usage)
+func (state *serverState) reported(now time.Time) iter.Seq[Usage] {
+	return func(yield func(Usage) bool) {
+		for _, peer := range state.peers {
+			if now.Sub(peer.at) < UsageLifetime && !yield(peer.usage) {
+				return
+			}
 		}
-	}
-	for _, region := range state.regions {
-		if now.Before(region.until) {
-			usages = append(usages, region.usage)
+		for _, region := range state.regions {
+			if now.Before(region.until) && !yield(region.usage) {
+				return
+			}
 		}
 	}
-	return usages
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -265,7 +265,7 @@
 	if now.Sub(state.othersAt) < othersLifetime {
 		return sum.plus(state.others)
 	}
-	for _, usage := range state.reported(now) {
+	for usage := range state.reported(now) {
 		sum = sum.plus(usage)
 	}
 	return sum
