--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilproxy/core/gossip"
+	"lentilproxy/core/limit"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/value"
 )
@@ -81,6 +82,11 @@
 	control.relays.topology = next
 	control.gossip.SetPeers(now, next.Peers)
 	control.relays.schedule.SetPeers(now, next.Remote)
+	near := value.NewSet[string]()
+	if next.Regional {
+		near = value.NewSet(next.Peers...)
+	}
+	control.coordinator.traffic.loans.Limiter(func(limiter *limit.Limiter) { limiter.SetNear(near) })
 	for dataCentre := range control.relays.regions {
 		if _, found := next.Relays[dataCentre]; !found {
 			delete(control.relays.regions, dataCentre)
