--- a/core/gossip/topology.go
+++ b/core/gossip/topology.go
@@ -24,11 +24,11 @@
 // Topology decides with which hosts a host exchanges messages. Each host computes it from the rows, without an agreement. Hosts that
 // disagree exchange a few messages more.
 type Topology struct {
-	// Regional reports whether messages stay within data centres, except those of relays.
-	Regional bool
+	// Relayed reports whether messages stay within data centres, except those of relays.
+	Relayed bool
 	// Peers are the hosts with which this one exchanges messages regularly, in order of their names.
 	Peers []string
-	// Relays maps data centres to their relays. It is empty unless the topology is regional.
+	// Relays maps data centres to their relays. It is empty unless the topology is relayed.
 	Relays map[string][]string
 	// Relay reports whether this host is a relay, and Remote are the relays of the other data centres with which it then exchanges
 	// messages, in order of their names.
@@ -46,23 +46,23 @@
 		names[host.DataCentre] = append(names[host.DataCentre], host.Name)
 	}
 	topology := Topology{Relays: map[string][]string{}}
-	topology.Regional = len(others)+1 > FullMeshHosts && len(names) >= 2
+	topology.Relayed = len(others)+1 > FullMeshHosts && len(names) >= 2
 	for dataCentre, hosts := range names {
 		slices.Sort(hosts)
 		topology.MostPeers = max(topology.MostPeers, len(hosts)-1)
-		if !topology.Regional || dataCentre == self.DataCentre {
+		if !topology.Relayed || dataCentre == self.DataCentre {
 			for _, name := range hosts {
 				if name != self.Name {
 					topology.Peers = append(topology.Peers, name)
 				}
 			}
 		}
-		if topology.Regional {
+		if topology.Relayed {
 			topology.Relays[dataCentre] = relaysOf(dataCentre, hosts, self.Name, skipped)
 		}
 	}
 	slices.Sort(topology.Peers)
-	if !topology.Regional {
+	if !topology.Relayed {
 		topology.MostPeers = len(others)
 		return topology
 	}
--- a/core/gossip/topology_test.go
+++ b/core/gossip/topology_test.go
@@ -24,21 +24,21 @@
 	for _, test := range []struct {
 		hosts, dataCentres int
 		peers              int
-		regional           bool
+		relayed            bool
 	}{
 		{hosts: 1, dataCentres: 1},
 		{hosts: 25, dataCentres: 3, peers: 24},
 		{hosts: 40, dataCentres: 4, peers: 39},
 		{hosts: 41, dataCentres: 1, peers: 40},
-		{hosts: 44, dataCentres: 4, peers: 10, regional: true},
-		{hosts: 300, dataCentres: 4, peers: 74, regional: true},
+		{hosts: 44, dataCentres: 4, peers: 10, relayed: true},
+		{hosts: 300, dataCentres: 4, peers: 74, relayed: true},
 	} {
 		t.Run(fmt.Sprintf("%d hosts in %d data centres", test.hosts, test.dataCentres), func(t *testing.T) {
 			is := is.New(t)
 			hosts, relays := hostsIn(test.hosts, test.dataCentres), 0
 			for index, host := range hosts {
 				topology := NewTopology(host, slices.Delete(slices.Clone(hosts), index, index+1), nil)
-				is.Equal(topology.Regional, test.regional)
+				is.Equal(topology.Relayed, test.relayed)
 				is.Equal(len(topology.Peers), test.peers)
 				is.Equal(topology.MostPeers, test.peers)
 				if topology.Relay {
@@ -46,7 +46,7 @@
 					is.Equal(len(topology.Remote), relayCount*(test.dataCentres-1))
 				}
 			}
-			if test.regional {
+			if test.relayed {
 				is.Equal(relays, relayCount*test.dataCentres)
 			}
 		})
--- a/core/limit/requests_test.go
+++ b/core/limit/requests_test.go
@@ -149,31 +149,28 @@
 	}
 	borrower := lenders["host-0"]
 	borrower.SetNear(nearby)
-	asked := func(now time.Time) (local, remote int) {
+	askRemote := func(now time.Time) int {
+		remote := 0
 		for _, request := range borrower.LoanRequests(now, func(string) []string { return names }) {
-			if nearby.Has(request.Lender) {
-				local++
-			} else {
+			if !nearby.Has(request.Lender) {
 				remote++
 			}
 			borrower.Credit(now, now, lenders[request.Lender].Lend(now, "host-0", request))
 		}
-		return local, remote
+		return remote
 	}
 	now := epoch
 	for range 10 { // 1,500 tokens a second, of which the own share gives 1,000
 		borrower.Demand(now, "w", 150)
 		_, outcome := borrower.Charge(now, "w", 150)
 		is.Equal(outcome, Charged)
-		_, remote := asked(now)
-		is.Equal(remote, 0)
+		is.Equal(askRemote(now), 0)
 		now = now.Add(100 * time.Millisecond)
 	}
 	borrower.Demand(now, "w", 30_000)
 	_, outcome := borrower.Charge(now, "w", 30_000)
 	is.Equal(outcome, Insufficient)
-	_, remote := asked(now.Add(maxRequestInterval))
-	is.True(remote > 0)
+	is.True(askRemote(now.Add(maxRequestInterval)) > 0)
 	_, outcome = borrower.Charge(now.Add(maxRequestInterval), "w", 30_000)
 	is.Equal(outcome, Charged)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -86,8 +86,8 @@
 	// runs holds this host's running requests.
 	runs  map[*Run]struct{}
 	peers map[string]peerUsage
-	// regions holds the load by the hosts of other data centres.
-	regions map[string]regionUsage
+	// summaries holds the load by the hosts of other data centres.
+	summaries map[string]summaryUsage
 	// others is the load by the requests of other hosts, as the server's lease holder knew it at othersAt.
 	others    Usage
 	othersAt  time.Time
@@ -108,8 +108,8 @@
 	replicated map[spec.AdapterRef]time.Time
 	// peerUsages holds the last usage report of each peer.
 	peerUsages map[string]map[string]Usage
-	// regionUsages holds the last statement of each other data centre.
-	regionUsages map[string]map[string]Usage
+	// summaryUsages holds the last statement of each other data centre.
+	summaryUsages map[string]map[string]Usage
 	// notices holds what servers have said of themselves. They outlast the removal of a server's registration.
 	notices *notice.Board[spec.Incarnation]
 	// ejections collects the ejections since the last call of TakeEjections.
@@ -151,7 +151,7 @@
 func New(dataCentre string, options ...Option) *Scheduler {
 	scheduler := &Scheduler{
 		dataCentre: dataCentre, servers: map[string]*serverState{}, replicated: map[spec.AdapterRef]time.Time{}, peerUsages: map[string]map[string]Usage{},
-		regionUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation](), gate: warm.New(""),
+		summaryUsages: map[string]map[string]Usage{}, notices: notice.New[spec.Incarnation](), gate: warm.New(""),
 	}
 	for _, option := range options {
 		option(scheduler)
--- a/core/sched/region.go
+++ b/core/sched/summary.go
@@ -7,31 +7,31 @@
 	"lentilproxy/core/value"
 )
 
-// regionUsage is the load that the hosts of another data centre put on a server, as one of its relays has stated it.
-type regionUsage struct {
+// summaryUsage is the load that the hosts of another data centre put on a server, as one of its relays has stated it.
+type summaryUsage struct {
 	usage Usage
 	until time.Time
 }
 
-// SetRegionUsage replaces the usage of the hosts of another data centre. It counts like the report of a peer as of the given time, and
+// SetSummaryUsage replaces the usage of the hosts of another data centre. It counts like the report of a peer as of the given time, and
 // longer by the delay with which it travels.
-func (scheduler *Scheduler) SetRegionUsage(asOf time.Time, delay time.Duration, dataCentre string, usages map[string]Usage) {
-	for name := range scheduler.regionUsages[dataCentre] {
+func (scheduler *Scheduler) SetSummaryUsage(asOf time.Time, delay time.Duration, dataCentre string, usages map[string]Usage) {
+	for name := range scheduler.summaryUsages[dataCentre] {
 		if state := scheduler.servers[name]; state != nil {
-			delete(state.regions, dataCentre)
+			delete(state.summaries, dataCentre)
 		}
 	}
 	for name, usage := range usages {
 		if state := scheduler.servers[name]; state != nil {
-			if state.regions == nil {
-				state.regions = map[string]regionUsage{}
+			if state.summaries == nil {
+				state.summaries = map[string]summaryUsage{}
 			}
-			state.regions[dataCentre] = regionUsage{usage: usage, until: asOf.Add(UsageLifetime + delay)}
+			state.summaries[dataCentre] = summaryUsage{usage: usage, until: asOf.Add(UsageLifetime + delay)}
 		}
 	}
-	scheduler.regionUsages[dataCentre] = usages
+	scheduler.summaryUsages[dataCentre] = usages
 	if usages == nil {
-		delete(scheduler.regionUsages, dataCentre)
+		delete(scheduler.summaryUsages, dataCentre)
 	}
 }
 
@@ -61,8 +61,8 @@
 				return
 			}
 		}
-		for _, region := range state.regions {
-			if now.Before(region.until) && !yield(region.usage) {
+		for _, summary := range state.summaries {
+			if now.Before(summary.until) && !yield(summary.usage) {
 				return
 			}
 		}
--- a/core/sched/region_test.go
+++ b/core/sched/summary_test.go
@@ -19,8 +19,8 @@
 	scheduler.UpdateServers(map[string]spec.Server{"s": {ID: "s"}})
 	running := func(after time.Duration) int { return scheduler.servers["s"].usage(start.Add(after)).Running }
 	scheduler.SetPeerUsage(start, "h1", map[string]Usage{"s": {Running: 2}})
-	scheduler.SetRegionUsage(start, delay, "dc-1", map[string]Usage{"s": {Running: 5}, "unknown": {Running: 1}})
-	scheduler.SetRegionUsage(start, delay, "dc-1", map[string]Usage{"s": {Running: 4}})
+	scheduler.SetSummaryUsage(start, delay, "dc-1", map[string]Usage{"s": {Running: 5}, "unknown": {Running: 1}})
+	scheduler.SetSummaryUsage(start, delay, "dc-1", map[string]Usage{"s": {Running: 4}})
 	is.Equal(running(0), 6)
 	is.Equal(running(UsageLifetime), 4)
 	is.Equal(running(UsageLifetime+delay), 0)
@@ -33,6 +33,6 @@
 	sums, oldest = scheduler.SumUsage(start.Add(UsageLifetime), value.NewSet("h1"))
 	is.Equal(sums["s"].Running, 0)
 	is.Equal(oldest, start.Add(UsageLifetime))
-	scheduler.SetRegionUsage(time.Time{}, 0, "dc-1", nil)
+	scheduler.SetSummaryUsage(time.Time{}, 0, "dc-1", nil)
 	is.Equal(running(0), 2)
 }
--- a/io/coord/compact.go
+++ b/io/coord/compact.go
@@ -20,10 +20,10 @@
 	Demand        map[string]map[string]float64 `json:"used,omitempty"`
 	Running       map[string]map[string]int     `json:"running,omitempty"`
 	// ContentsHash is a hash of the digests of all tables. It is empty if the message asks for no proofs.
-	ContentsHash    string                    `json:"contents,omitempty"`
-	Relay           bool                      `json:"relay,omitempty"`
-	Regions         map[string]*regionMessage `json:"regions,omitempty"`
-	RegionsReceived map[string]regionPosition `json:"has,omitempty"`
+	ContentsHash      string                     `json:"contents,omitempty"`
+	Relay             bool                       `json:"relay,omitempty"`
+	Summaries         map[string]*summaryMessage `json:"summaries,omitempty"`
+	SummariesReceived map[string]summaryPosition `json:"has,omitempty"`
 }
 
 // compactCall contains a compact message.
@@ -46,7 +46,7 @@
 	return compactMessage{
 		Host: message.Host, Numbers: [5]int64{message.ID, message.ReceivedID, int64(message.Members), message.ID - message.UsageBase, message.ReceivedID - message.UsageReceived},
 		Stated: message.UsageChanges != nil, UsageChanges: message.UsageChanges, LoadedChanges: message.LoadedChanges, Demand: message.Demand, Running: message.Running,
-		ContentsHash: message.ContentsHash, Relay: message.Relay, Regions: message.Regions, RegionsReceived: message.RegionsReceived,
+		ContentsHash: message.ContentsHash, Relay: message.Relay, Summaries: message.Summaries, SummariesReceived: message.SummariesReceived,
 	}
 }
 
@@ -56,7 +56,7 @@
 		Host: compact.Host, ID: compact.Numbers[0], ReceivedID: compact.Numbers[1], Members: int(compact.Numbers[2]),
 		UsageBase: compact.Numbers[0] - compact.Numbers[3], UsageReceived: compact.Numbers[1] - compact.Numbers[4],
 		Demand: compact.Demand, Running: compact.Running, ContentsHash: compact.ContentsHash,
-		Support: regionsInUse, Relay: compact.Relay, Regions: compact.Regions, RegionsReceived: compact.RegionsReceived,
+		Support: summariesInUse, Relay: compact.Relay, Summaries: compact.Summaries, SummariesReceived: compact.SummariesReceived,
 	}
 	if compact.Stated {
 		message.UsageChanges, message.LoadedChanges = map[string][]int64{}, map[string]loadedChange{}
@@ -91,10 +91,10 @@
 	if message.Compact != nil {
 		*message = message.Compact.expanded()
 	}
-	for dataCentre, region := range message.Regions {
-		if region == nil || region.unpack() != nil {
+	for dataCentre, summary := range message.Summaries {
+		if summary == nil || summary.unpack() != nil {
 			log.Info("invalid state of a data centre in a message", "peer", message.Host, "data_centre", dataCentre)
-			delete(message.Regions, dataCentre)
+			delete(message.Summaries, dataCentre)
 		}
 	}
 }
--- a/io/coord/compact_test.go
+++ b/io/coord/compact_test.go
@@ -13,13 +13,13 @@
 	for name, message := range map[string]gossipMessage{
 		"own state": {
 			Host: "h", ID: 20, ReceivedID: 10, Members: 3, UsageBase: 7, UsageReceived: 10, UsageChanges: map[string][]int64{"s": {1}},
-			LoadedChanges: map[string]loadedChange{"s": {Held: true}}, Support: regionsInUse, ContentsHash: "x",
+			LoadedChanges: map[string]loadedChange{"s": {Held: true}}, Support: summariesInUse, ContentsHash: "x",
 		},
-		"no changes":   {Host: "h", ID: 20, UsageChanges: map[string][]int64{}, LoadedChanges: map[string]loadedChange{}, Support: regionsInUse},
-		"no own state": {Host: "h", ID: 20, ReceivedID: 10, Demand: map[string]map[string]float64{"s": {"a": 1}}, Running: map[string]map[string]int{"s": {"a": 2}}, Support: regionsInUse},
+		"no changes":   {Host: "h", ID: 20, UsageChanges: map[string][]int64{}, LoadedChanges: map[string]loadedChange{}, Support: summariesInUse},
+		"no own state": {Host: "h", ID: 20, ReceivedID: 10, Demand: map[string]map[string]float64{"s": {"a": 1}}, Running: map[string]map[string]int{"s": {"a": 2}}, Support: summariesInUse},
 		"relay": {
-			Host: "h", ID: 20, Relay: true, Support: regionsInUse, RegionsReceived: map[string]regionPosition{"dc": {1, 2, 3}},
-			Regions: map[string]*regionMessage{"dc": {Source: "r", Stamp: 4, AgeMS: 5, Members: 6, Silent: []string{"x"}, At: [5]int64{1, 2, 3, 4, 5}, Partial: true}},
+			Host: "h", ID: 20, Relay: true, Support: summariesInUse, SummariesReceived: map[string]summaryPosition{"dc": {1, 2, 3}},
+			Summaries: map[string]*summaryMessage{"dc": {Source: "r", Stamp: 4, AgeMS: 5, Members: 6, Silent: []string{"x"}, At: [5]int64{1, 2, 3, 4, 5}, Partial: true}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +46,7 @@
 	is.NoErr(err)
 	fields := map[string]any{}
 	is.NoErr(json.Unmarshal(encoded, &fields))
-	for _, field := range []string{"regional", "relay", "regions", "regions_received", "c"} {
+	for _, field := range []string{"relayed", "relay", "summaries", "summaries_received", "c"} {
 		_, found := fields[field]
 		is.True(!found)
 	}
--- a/io/coord/gossip.go
+++ b/io/coord/gossip.go
@@ -58,12 +58,12 @@
 	// Loaded maps servers that the sender holds to what they have loaded, if it has changed.
 	Loaded map[string]loadedUpdate `json:"held,omitempty"`
 	// Support says whether the sender's messages stay within its data centre. The fields below are in messages of such hosts only.
-	Support regionSupport `json:"regional,omitempty"`
+	Support summarySupport `json:"relayed,omitempty"`
 	// Relay asks a host of another data centre for the state of its data centre.
 	Relay bool `json:"relay,omitempty"`
-	// Regions maps data centres to their states, and RegionsReceived those that the sender has from the receiver to what it has of them.
-	Regions         map[string]*regionMessage `json:"regions,omitempty"`
-	RegionsReceived map[string]regionPosition `json:"regions_received,omitempty"`
+	// Summaries maps data centres to their states, and SummariesReceived those that the sender has from the receiver to what it has of them.
+	Summaries         map[string]*summaryMessage `json:"summaries,omitempty"`
+	SummariesReceived map[string]summaryPosition `json:"summaries_received,omitempty"`
 	// Compact is the compact form of a message that was received. The other fields are then set from it.
 	Compact *compactMessage `json:"c,omitempty"`
 	// ContentsHash takes the place of Contents in the compact form, in which the message is sent if compact is set.
@@ -107,15 +107,15 @@
 	receivedCount int
 	// receivedID is the ID of the last message from the peer.
 	receivedID int64
-	// regional is set if the peer's messages stay within its data centre.
-	regional bool
+	// relayed is set if the peer's messages stay within its data centre.
+	relayed bool
 	// streams holds the states of data centres that the peer sends, and positions what the peer has of those that this host sends.
-	streams   map[string]*regionStream
-	positions map[string]regionPosition
+	streams   map[string]*summaryStream
+	positions map[string]summaryPosition
 	// passedAt is when this host, as a relay, last sent the peer the states of other data centres.
 	passedAt time.Time
-	// regionsID is the ID of the last message from the peer with states of data centres.
-	regionsID int64
+	// summariesID is the ID of the last message from the peer with states of data centres.
+	summariesID int64
 	// members is the number of members that the peer counted in its last message, at heardAt.
 	members int
 	heardAt time.Time
@@ -198,7 +198,7 @@
 			control.divideLimits(now)
 			control.reportEvacuations(now)
 			control.reportWaiting()
-			control.reportRegions(now)
+			control.reportSummaries(now)
 			coordinator.traffic.exchangeLoans(now)
 			for _, ejection := range coordinator.traffic.takeEjections() {
 				coordinator.log.Info("server avoided for its errors", "server", ejection.Server, "for_ms", ejection.Duration.Milliseconds(),
@@ -252,7 +252,7 @@
 		UsageReceived: peer.receivedUsage.newest(), Demand: map[string]map[string]float64{}, Running: map[string]map[string]int{}, Loaded: map[string]loadedUpdate{},
 	}
 	message.Support = control.support(peer)
-	message.compact = control.relays.topology.Regional && peer.regional
+	message.compact = control.relays.topology.Relayed && peer.relayed
 	if control.statesItself(peer) {
 		peer.addState(&message, control.ownUsage(now), control.ownLoaded())
 	}
@@ -318,8 +318,8 @@
 	control.relays.schedule.RecordCall(now, peer.name)
 	message, revisions := control.composeMessage(now, peer)
 	message.Relay = control.isRelayed(peer)
-	control.addRegions(now, peer, &message)
-	if control.remote(peer) && peer.regional && !message.Relay {
+	control.addSummaries(now, peer, &message)
+	if control.remote(peer) && peer.relayed && !message.Relay {
 		return message, revisions // It only reports requests.
 	}
 	message.NewestVersions, message.Contents = map[string]int64{}, control.contents()
@@ -362,7 +362,7 @@
 	if result.Message.Host == peer.name {
 		control.recordSupport(now, peer, result.Message.Support)
 		control.applyMessage(now, peer, result.Message)
-		control.applyRegions(now, sentAt, peer, result.Message)
+		control.applySummaries(now, sentAt, peer, result.Message)
 	}
 	control.compareProofs(now, sentAt, peer, control.expandProofs(result, message.Contents))
 }
@@ -392,10 +392,10 @@
 	// The response or the next message to the sender acknowledges this message. The sender may then use its whole
 	// share, so this host must have given up that share before. Hosts that have a row already count. With many hosts, a division for
 	// each message would take most of the processor time of gossip.
-	if peer == nil || message.Members > control.members || !control.relays.topology.Regional {
+	if peer == nil || message.Members > control.members || !control.relays.topology.Relayed {
 		control.divideLimits(now)
 	}
-	if peer != nil && control.remote(peer) && control.regionCounts(now, peer.dataCentre) {
+	if peer != nil && control.remote(peer) && control.summaryCounts(now, peer.dataCentre) {
 		message.Usage = nil // The sum of the data centre contains it.
 	}
 	control.coordinator.traffic.applyPeerMessage(now, message)
@@ -416,7 +416,7 @@
 	switch {
 	case message.ContentsHash != "" && message.ContentsHash == control.contentsHash(control.contents()):
 		result.Same = control.compactProofs(control.proofs(now))
-	case message.Support == regionsUnsupported || len(message.Contents) > 0 || message.ContentsHash != "":
+	case message.Support == summariesUnsupported || len(message.Contents) > 0 || message.ContentsHash != "":
 		result.Proofs = control.proofs(now)
 	}
 	if peer == nil {
@@ -424,15 +424,15 @@
 	}
 	control.gossip.RecordReceived(now, peer.name)
 	control.relays.schedule.RecordReceived(now, peer.name)
-	control.applyRegions(now, now.Add(-control.lateness(now, message)), peer, message)
-	peer.sendsContents = len(message.Contents) > 0 || message.Support == regionsInUse
+	control.applySummaries(now, now.Add(-control.lateness(now, message)), peer, message)
+	peer.sendsContents = len(message.Contents) > 0 || message.Support == summariesInUse
 	control.compareVersions(now, peer, message.NewestVersions, message.Contents)
 	var revisions map[string]int64
 	result.Message, revisions = control.composeMessage(now, peer)
 	if message.Relay && control.remote(peer) {
 		control.relays.askedAt, result.Message.Relay = now, true
 	}
-	control.addRegions(now, peer, &result.Message)
+	control.addSummaries(now, peer, &result.Message)
 	peer.lastResponse = sentResponse{id: result.Message.ID, sentAt: now, revisions: revisions}
 	return result
 }
--- a/io/coord/relay.go
+++ b/io/coord/relay.go
@@ -29,22 +29,22 @@
 	passInterval = 700 * time.Millisecond
 	// streamLifetime is how long the state that a peer has sent is kept after its last message with changes.
 	streamLifetime = 30 * time.Second
-	// regionReportTicks is the number of gossip intervals between two updates of the gauges about relays.
-	regionReportTicks = 5
+	// summaryReportTicks is the number of gossip intervals between two updates of the gauges about relays.
+	summaryReportTicks = 5
 	// actingFor is how long a host that a relay of another data centre has called acts as a relay.
 	actingFor = 5 * relayInterval
 )
 
-// regionSupport says in messages whether their sender understands the states of data centres.
-type regionSupport int
+// summarySupport says in messages whether their sender understands the states of data centres.
+type summarySupport int
 
 const (
-	// regionsUnsupported is sent by hosts of the previous version, and to hosts that may be of it while there are few hosts.
-	regionsUnsupported regionSupport = iota
-	// regionsSupported is the response of a host that exchanges messages with all others.
-	regionsSupported
-	// regionsInUse means that the sender's messages stay within its data centre.
-	regionsInUse
+	// summariesUnsupported is sent by hosts of the previous version, and to hosts that may be of it while there are few hosts.
+	summariesUnsupported summarySupport = iota
+	// summariesSupported is the response of a host that exchanges messages with all others.
+	summariesSupported
+	// summariesInUse means that the sender's messages stay within its data centre.
+	summariesInUse
 )
 
 // relays is the part of the control state that concerns the states of data centres.
@@ -53,9 +53,9 @@
 	// schedule decides which relays of other data centres to call, if this host is a relay.
 	schedule *gossip.Schedule
 	ticks    int
-	// own is the state of this host's data centre, composed on demand, and regions are those of the others.
-	own     *region
-	regions map[string]*region
+	// own is the state of this host's data centre, composed on demand, and summaries are those of the others.
+	own       *summary
+	summaries map[string]*summary
 	// askedAt is when a relay of another data centre last called.
 	askedAt time.Time
 	// skippedUntil maps hosts that did not respond, or cannot be relays, to the time until which they are skipped.
@@ -64,7 +64,7 @@
 
 func newRelays(self string) *relays {
 	return &relays{
-		schedule: gossip.New(self, relayInterval, maxRelayExchanges), own: newRegion(), regions: map[string]*region{}, skippedUntil: map[string]time.Time{},
+		schedule: gossip.New(self, relayInterval, maxRelayExchanges), own: newSummary(), summaries: map[string]*summary{}, skippedUntil: map[string]time.Time{},
 	}
 }
 
@@ -83,24 +83,24 @@
 	control.gossip.SetPeers(now, next.Peers)
 	control.relays.schedule.SetPeers(now, next.Remote)
 	near := value.NewSet[string]()
-	if next.Regional {
+	if next.Relayed {
 		near = value.NewSet(next.Peers...)
 	}
 	control.coordinator.traffic.loans.Limiter(func(limiter *limit.Limiter) { limiter.SetNear(near) })
-	for dataCentre := range control.relays.regions {
+	for dataCentre := range control.relays.summaries {
 		if _, found := next.Relays[dataCentre]; !found {
-			delete(control.relays.regions, dataCentre)
-			control.coordinator.traffic.dropRegion(dataCentre)
+			delete(control.relays.summaries, dataCentre)
+			control.coordinator.traffic.dropSummary(dataCentre)
 		}
 	}
-	if !next.Regional {
+	if !next.Relayed {
 		control.coordinator.metrics.Gauge("relay").Update(0)
-		control.relays.own = newRegion()
+		control.relays.own = newSummary()
 		for _, peer := range control.peers {
 			peer.streams, peer.positions = nil, nil
 		}
 	}
-	if before.Regional != next.Regional || !slices.Equal(before.Relays[self.DataCentre], next.Relays[self.DataCentre]) {
+	if before.Relayed != next.Relayed || !slices.Equal(before.Relays[self.DataCentre], next.Relays[self.DataCentre]) {
 		control.coordinator.log.Info("relays of the data centre", "relays", next.Relays[self.DataCentre], "before", before.Relays[self.DataCentre],
 			"hosts", len(others)+1, "data_centres", len(next.Relays), "exchanges", len(next.Peers)+len(next.Remote))
 	}
@@ -108,7 +108,7 @@
 
 // skip skips a host in the choice of relays.
 func (control *control) skip(now time.Time, name string, duration time.Duration) {
-	if !control.relays.topology.Regional {
+	if !control.relays.topology.Relayed {
 		return
 	}
 	_, known := control.relays.skippedUntil[name]
@@ -138,8 +138,8 @@
 }
 
 // recordSupport records what a response of a host says about its version.
-func (control *control) recordSupport(now time.Time, peer *peerState, support regionSupport) {
-	if support == regionsUnsupported && control.relays.topology.Regional {
+func (control *control) recordSupport(now time.Time, peer *peerState, support summarySupport) {
+	if support == summariesUnsupported && control.relays.topology.Relayed {
 		control.skip(now, peer.name, skipPreviousFor)
 		return
 	}
@@ -148,24 +148,24 @@
 
 // remote reports whether a peer is in another data centre and messages stay within data centres.
 func (control *control) remote(peer *peerState) bool {
-	return control.relays.topology.Regional && peer.dataCentre != control.coordinator.settings.Host.DataCentre
+	return control.relays.topology.Relayed && peer.dataCentre != control.coordinator.settings.Host.DataCentre
 }
 
 // statesItself reports whether messages to a peer contain this host's own state. Peers in other data centres get it from relays,
 // unless they are of the previous version or count fewer hosts.
 func (control *control) statesItself(peer *peerState) bool {
-	return !control.remote(peer) || !peer.regional
+	return !control.remote(peer) || !peer.relayed
 }
 
 // support returns what a message to a peer says about this host's version.
-func (control *control) support(peer *peerState) regionSupport {
+func (control *control) support(peer *peerState) summarySupport {
 	switch {
-	case control.relays.topology.Regional:
-		return regionsInUse
-	case peer.regional:
-		return regionsSupported
+	case control.relays.topology.Relayed:
+		return summariesInUse
+	case peer.relayed:
+		return summariesSupported
 	default:
-		return regionsUnsupported
+		return summariesUnsupported
 	}
 }
 
@@ -179,29 +179,29 @@
 	return slices.Contains(control.relays.topology.Remote, peer.name)
 }
 
-// regionDelay is the longest time that a report takes through the relays to a host of another data centre: a period in each of the
+// summaryDelay is the longest time that a report takes through the relays to a host of another data centre: a period in each of the
 // data centres, or passInterval in the second one, and the exchange between them.
-func (control *control) regionDelay() time.Duration {
-	if !control.relays.topology.Regional {
+func (control *control) summaryDelay() time.Duration {
+	if !control.relays.topology.Relayed {
 		return 0
 	}
 	period := control.gossip.PeriodOf(control.relays.topology.MostPeers)
 	return period + relayInterval + max(period, passInterval)
 }
 
-// regionLife is how much longer than the report of a peer the sum of a data centre counts: its oldest part may be as old as a report
+// summaryLife is how much longer than the report of a peer the sum of a data centre counts: its oldest part may be as old as a report
 // that just counts, and it is replaced a period after it has arrived.
-func (control *control) regionLife() time.Duration {
-	return control.regionDelay() + max(control.gossip.Period(), passInterval) + gossipInterval
+func (control *control) summaryLife() time.Duration {
+	return control.summaryDelay() + max(control.gossip.Period(), passInterval) + gossipInterval
 }
 
 // gossipDelay returns the time within which hosts report their requests and loaded adapters to each other.
 func (control *control) gossipDelay() time.Duration {
-	return max(control.gossip.Period(), control.regionDelay())
+	return max(control.gossip.Period(), control.summaryDelay())
 }
 
-// refreshOwnRegion composes the state of this host's data centre, unless that was done recently.
-func (control *control) refreshOwnRegion(now time.Time) {
+// refreshOwnSummary composes the state of this host's data centre, unless that was done recently.
+func (control *control) refreshOwnSummary(now time.Time) {
 	own := control.relays.own
 	if now.Sub(own.updatedAt) < gossipInterval {
 		return
@@ -214,7 +214,7 @@
 		holders[name] = ""
 	}
 	for server, update := range control.ownLoaded() {
-		control.addRegionServer(holders, server, &regionServer{holder: host.Name, update: update})
+		control.addSummaryServer(holders, server, &summaryServer{holder: host.Name, update: update})
 	}
 	for _, name := range value.Sorted(control.peers) {
 		peer := control.peers[name]
@@ -230,7 +230,7 @@
 		}
 		state, _ := peer.receivedUsage.find(peer.receivedUsage.newest())
 		for server, update := range state.loaded {
-			control.addRegionServer(holders, server, &regionServer{holder: name, update: update})
+			control.addSummaryServer(holders, server, &summaryServer{holder: name, update: update})
 		}
 	}
 	for name, holder := range holders {
@@ -243,9 +243,9 @@
 	own.Statement = gossip.Statement{Source: host.Name, Stamp: now.UnixNano(), AsOf: oldest}
 }
 
-// addRegionServer adds a server to the state of this host's data centre. If two hosts state that they hold it, the one with the row
+// addSummaryServer adds a server to the state of this host's data centre. If two hosts state that they hold it, the one with the row
 // counts.
-func (control *control) addRegionServer(holders map[string]string, name string, server *regionServer) {
+func (control *control) addSummaryServer(holders map[string]string, name string, server *summaryServer) {
 	if holders[name] != "" {
 		if holder, found := control.registry.Holder(name); !found || holder.Name != server.holder {
 			return
@@ -257,10 +257,10 @@
 	}
 }
 
-// addRegions adds the states of data centres to a message for a peer: that of this data centre for relays of other ones, and those of
+// addSummaries adds the states of data centres to a message for a peer: that of this data centre for relays of other ones, and those of
 // the other ones for the hosts of this one if this host acts as a relay.
-func (control *control) addRegions(now time.Time, peer *peerState, message *gossipMessage) {
-	if !control.relays.topology.Regional || !peer.regional {
+func (control *control) addSummaries(now time.Time, peer *peerState, message *gossipMessage) {
+	if !control.relays.topology.Relayed || !peer.relayed {
 		return
 	}
 	for dataCentre, stream := range peer.streams {
@@ -268,101 +268,101 @@
 			delete(peer.streams, dataCentre) // The peer is no relay any more.
 			continue
 		}
-		if message.RegionsReceived == nil {
-			message.RegionsReceived = map[string]regionPosition{}
+		if message.SummariesReceived == nil {
+			message.SummariesReceived = map[string]summaryPosition{}
 		}
-		message.RegionsReceived[dataCentre] = stream.position
+		message.SummariesReceived[dataCentre] = stream.position
 	}
 	most := maxLoadedChanges
 	switch {
 	case control.remote(peer) && message.Relay:
-		control.refreshOwnRegion(now)
-		control.addRegion(now, peer, message, control.coordinator.settings.Host.DataCentre, control.relays.own, &most)
+		control.refreshOwnSummary(now)
+		control.addSummary(now, peer, message, control.coordinator.settings.Host.DataCentre, control.relays.own, &most)
 	case !control.remote(peer) && control.acting(now):
 		if now.Sub(peer.passedAt) < passInterval {
 			return
 		}
 		peer.passedAt = now
-		dataCentres := value.Sorted(control.relays.regions)
+		dataCentres := value.Sorted(control.relays.summaries)
 		if relays := control.relays.topology.Relays[control.coordinator.settings.Host.DataCentre]; relays[0] != message.Host {
 			slices.Reverse(dataCentres) // While much is to be sent, the relays send different parts.
 		}
 		for _, dataCentre := range dataCentres {
-			control.addRegion(now, peer, message, dataCentre, control.relays.regions[dataCentre], &most)
+			control.addSummary(now, peer, message, dataCentre, control.relays.summaries[dataCentre], &most)
 		}
 	case !control.remote(peer):
 		control.relays.own.outbox = nil
-		for _, region := range control.relays.regions {
-			region.outbox = nil
+		for _, summary := range control.relays.summaries {
+			summary.outbox = nil
 		}
 	}
 }
 
-// addRegion adds the state of a data centre to a message for a peer, with at most a number of changes of loaded adapters, which it
+// addSummary adds the state of a data centre to a message for a peer, with at most a number of changes of loaded adapters, which it
 // reduces.
-func (control *control) addRegion(now time.Time, peer *peerState, message *gossipMessage, dataCentre string, region *region, most *int) {
-	if region.Source == "" || region.Source == peer.name {
+func (control *control) addSummary(now time.Time, peer *peerState, message *gossipMessage, dataCentre string, summary *summary, most *int) {
+	if summary.Source == "" || summary.Source == peer.name {
 		return
 	}
-	outbox := region.publish(now)
+	outbox := summary.publish(now)
 	base, changes, err := outbox.since(peer.positions[dataCentre], *most)
 	if err != nil {
 		control.coordinator.log.Error(err, "cannot encode the state of a data centre", "data_centre", dataCentre)
 		return
 	}
 	*most = max(1, *most-changes.loaded)
-	if message.Regions == nil {
-		message.Regions = map[string]*regionMessage{}
+	if message.Summaries == nil {
+		message.Summaries = map[string]*summaryMessage{}
 	}
-	message.Regions[dataCentre] = &regionMessage{
-		Source: region.Source, Stamp: region.Stamp, AgeMS: now.Sub(region.AsOf).Milliseconds() + 1, Members: region.members, Silent: region.silent,
+	message.Summaries[dataCentre] = &summaryMessage{
+		Source: summary.Source, Stamp: summary.Stamp, AgeMS: now.Sub(summary.AsOf).Milliseconds() + 1, Members: summary.members, Silent: summary.silent,
 		At:      [5]int64{base.epoch(), base.usage(), base.loaded(), changes.next.usage(), changes.next.loaded()},
 		Partial: changes.next.loaded() < outbox.loaded.Revision(), Changes: changes.content, Packed: changes.packed,
 	}
 }
 
-// applyRegions applies the states of other data centres in a message of a peer that was sent at or after a time.
-func (control *control) applyRegions(now, sentAt time.Time, peer *peerState, message gossipMessage) {
-	peer.regional = message.Support == regionsInUse
-	if !control.relays.topology.Regional {
+// applySummaries applies the states of other data centres in a message of a peer that was sent at or after a time.
+func (control *control) applySummaries(now, sentAt time.Time, peer *peerState, message gossipMessage) {
+	peer.relayed = message.Support == summariesInUse
+	if !control.relays.topology.Relayed {
 		return
 	}
-	if behind := peer.regionsID - message.ID; behind > 0 && behind < int64(maxReordering) {
+	if behind := peer.summariesID - message.ID; behind > 0 && behind < int64(maxReordering) {
 		return // A later message has arrived before this one.
 	}
-	peer.regionsID, peer.positions = message.ID, message.RegionsReceived
-	for dataCentre, update := range message.Regions {
+	peer.summariesID, peer.positions = message.ID, message.SummariesReceived
+	for dataCentre, update := range message.Summaries {
 		if _, known := control.relays.topology.Relays[dataCentre]; !known || dataCentre == control.coordinator.settings.Host.DataCentre {
 			continue
 		}
 		stream := peer.streams[dataCentre]
 		if stream == nil {
-			stream = &regionStream{}
+			stream = &summaryStream{}
 			if peer.streams == nil {
-				peer.streams = map[string]*regionStream{}
+				peer.streams = map[string]*summaryStream{}
 			}
 			peer.streams[dataCentre] = stream
 		}
 		if stream.apply(update) {
 			stream.updatedAt = now
 			statement := gossip.Statement{Source: update.Source, Stamp: update.Stamp, AsOf: sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond)}
-			control.acceptRegion(now, dataCentre, statement, stream, update)
+			control.acceptSummary(now, dataCentre, statement, stream, update)
 		}
 	}
 }
 
-// acceptRegion replaces what this host knows of another data centre, if the statement is newer.
-func (control *control) acceptRegion(now time.Time, dataCentre string, statement gossip.Statement, stream *regionStream, update *regionMessage) {
-	known := control.relays.regions[dataCentre]
+// acceptSummary replaces what this host knows of another data centre, if the statement is newer.
+func (control *control) acceptSummary(now time.Time, dataCentre string, statement gossip.Statement, stream *summaryStream, update *summaryMessage) {
+	known := control.relays.summaries[dataCentre]
 	if known == nil {
-		known = newRegion()
-		control.relays.regions[dataCentre] = known
+		known = newSummary()
+		control.relays.summaries[dataCentre] = known
 	}
 	if !statement.Replaces(known.Statement) {
 		return
 	}
 	changed := known.accept(stream)
-	if now.Sub(known.updatedAt) >= regionReapplyInterval {
+	if now.Sub(known.updatedAt) >= summaryReapplyInterval {
 		// Traffic drops what it gets for a server that it does not know yet.
 		known.updatedAt = now
 		for name, server := range known.heldIn(control.holderName) {
@@ -377,29 +377,29 @@
 			hosts = append(hosts, name)
 		}
 	}
-	control.coordinator.traffic.applyRegion(now, dataCentre, hosts, known, control.regionLife(), changed)
+	control.coordinator.traffic.applySummary(now, dataCentre, hosts, known, control.summaryLife(), changed)
 }
 
-// regionReapplyInterval is the time after which what the servers of a data centre have loaded is applied again.
-const regionReapplyInterval = 3 * time.Second
+// summaryReapplyInterval is the time after which what the servers of a data centre have loaded is applied again.
+const summaryReapplyInterval = 3 * time.Second
 
 func (control *control) holderName(server string) string {
 	holder, _ := control.registry.Holder(server)
 	return holder.Name
 }
 
-// regionCounts reports whether the sum of the usage of a data centre counts now, so that reports of its hosts do not.
-func (control *control) regionCounts(now time.Time, dataCentre string) bool {
-	known := control.relays.regions[dataCentre]
-	return known != nil && now.Sub(known.AsOf) < sched.UsageLifetime+control.regionLife()
+// summaryCounts reports whether the sum of the usage of a data centre counts now, so that reports of its hosts do not.
+func (control *control) summaryCounts(now time.Time, dataCentre string) bool {
+	known := control.relays.summaries[dataCentre]
+	return known != nil && now.Sub(known.AsOf) < sched.UsageLifetime+control.summaryLife()
 }
 
 // silentHosts returns the hosts of other data centres that do not respond to their relays.
 func (control *control) silentHosts(now time.Time) value.Set[string] {
 	silent := value.NewSet[string]()
-	for dataCentre, region := range control.relays.regions {
-		if control.regionCounts(now, dataCentre) {
-			for _, name := range region.silent {
+	for dataCentre, summary := range control.relays.summaries {
+		if control.summaryCounts(now, dataCentre) {
+			for _, name := range summary.silent {
 				silent.Add(name)
 			}
 		}
@@ -419,7 +419,7 @@
 	for _, name := range names {
 		peers = append(peers, control.peers[name])
 	}
-	if control.relays.topology.Regional {
+	if control.relays.topology.Relayed {
 		peers = append(peers, control.reportedHolders(now)...)
 	}
 	return peers
@@ -464,9 +464,9 @@
 	return max(0, now.Sub(time.Unix(0, message.ReceivedID))-2*control.gossip.Period()-2*gossipInterval-callTimeout)
 }
 
-// reportRegions updates the gauges about relays.
-func (control *control) reportRegions(now time.Time) {
-	if !control.relays.topology.Regional || control.relays.ticks%regionReportTicks != 0 {
+// reportSummaries updates the gauges about relays.
+func (control *control) reportSummaries(now time.Time) {
+	if !control.relays.topology.Relayed || control.relays.ticks%summaryReportTicks != 0 {
 		return
 	}
 	acting := 0.0
@@ -475,7 +475,7 @@
 	}
 	metrics := control.coordinator.metrics
 	metrics.Gauge("relay").Update(acting)
-	for dataCentre, region := range control.relays.regions {
-		metrics.Tagged(map[string]string{"data_centre": dataCentre}).Gauge("region_age_ms").Update(float64(now.Sub(region.AsOf).Milliseconds()))
+	for dataCentre, summary := range control.relays.summaries {
+		metrics.Tagged(map[string]string{"data_centre": dataCentre}).Gauge("data_centre_age_ms").Update(float64(now.Sub(summary.AsOf).Milliseconds()))
 	}
 }
--- a/io/coord/simulated_test.go
+++ b/io/coord/simulated_test.go
@@ -284,7 +284,7 @@
 // strip removes what hosts of the previous version do not send.
 func (host *simulatedHost) strip(message *gossipMessage) {
 	if host.previous {
-		message.Support = regionsUnsupported
+		message.Support = summariesUnsupported
 	}
 }
 
--- a/io/coord/region.go
+++ b/io/coord/summary.go
@@ -31,19 +31,19 @@
 	removedAdapter = -1
 )
 
-// regionServer is what a server of a data centre has loaded, as its lease holder has reported it. It is never changed.
-type regionServer struct {
+// summaryServer is what a server of a data centre has loaded, as its lease holder has reported it. It is never changed.
+type summaryServer struct {
 	holder string
 	update loadedUpdate
 }
 
-func (server *regionServer) equal(other *regionServer) bool {
+func (server *summaryServer) equal(other *summaryServer) bool {
 	return server == other || server != nil && other != nil && server.holder == other.holder &&
 		server.update.StartedMillis == other.update.StartedMillis && sameLoaded(server.update.Loaded, other.update.Loaded)
 }
 
 // with returns the server with the adapters that are known of it too. A part of a state does not show that an adapter was removed.
-func (server *regionServer) with(known *regionServer) *regionServer {
+func (server *summaryServer) with(known *summaryServer) *summaryServer {
 	if known == nil || known == server || known.update.StartedMillis != server.update.StartedMillis {
 		return server
 	}
@@ -56,30 +56,30 @@
 	return &merged
 }
 
-// region is the state of a data centre as this host knows it: the sum of the usage by its hosts, and what the servers that they hold
+// summary is the state of a data centre as this host knows it: the sum of the usage by its hosts, and what the servers that they hold
 // have loaded.
-type region struct {
+type summary struct {
 	gossip.Statement
 	members int
 	// silent are the hosts that do not respond to the relay.
 	silent []string
 	// usage is replaced as a whole; servers is not.
 	usage   map[string]sched.Usage
-	servers map[string]*regionServer
+	servers map[string]*summaryServer
 	// updatedAt is when the state was last composed or received.
 	updatedAt time.Time
 	// outbox is nil unless this host sends the state to others.
-	outbox *regionOutbox
+	outbox *summaryOutbox
 }
 
-func newRegion() *region { return &region{servers: map[string]*regionServer{}} }
+func newSummary() *summary { return &summary{servers: map[string]*summaryServer{}} }
 
-// regionOutbox lists the changes of a region's state, and keeps them encoded for all peers that need the same.
-type regionOutbox struct {
+// summaryOutbox lists the changes of a summary's state, and keeps them encoded for all peers that need the same.
+type summaryOutbox struct {
 	epoch   int64
 	usage   *gossip.Record[string, sched.Usage]
 	loaded  *gossip.Record[loadedKey, loadedValue]
-	servers map[string]*regionServer
+	servers map[string]*summaryServer
 	encoded map[changesKey]encodedChanges
 	// published is the last statement whose state is in the records.
 	published gossip.Statement
@@ -100,33 +100,33 @@
 	version       int64
 }
 
-func (server *regionServer) head() loadedValue {
+func (server *summaryServer) head() loadedValue {
 	return loadedValue{holder: server.holder, startedMillis: server.update.StartedMillis, model: server.update.Loaded.Model, orderable: server.update.Loaded.Orderable}
 }
 
 // changesKey is the state of the receivers that need the same changes.
 type changesKey struct {
-	position regionPosition
+	position summaryPosition
 	most     int
 }
 
 type encodedChanges struct {
 	content json.RawMessage
 	packed  []byte
-	next    regionPosition
+	next    summaryPosition
 	loaded  int
 }
 
-// regionPosition is the state of a region that a receiver has from a sender: the epoch that identifies the sender's records, and the
+// summaryPosition is the state of a summary that a receiver has from a sender: the epoch that identifies the sender's records, and the
 // revisions of usage and of loaded adapters.
-type regionPosition [3]int64
+type summaryPosition [3]int64
 
-func (position regionPosition) epoch() int64  { return position[0] }
-func (position regionPosition) usage() int64  { return position[1] }
-func (position regionPosition) loaded() int64 { return position[2] }
+func (position summaryPosition) epoch() int64  { return position[0] }
+func (position summaryPosition) usage() int64  { return position[1] }
+func (position summaryPosition) loaded() int64 { return position[2] }
 
-// regionMessage is the state of a data centre in a message: what differs from a state that the receiver has.
-type regionMessage struct {
+// summaryMessage is the state of a data centre in a message: what differs from a state that the receiver has.
+type summaryMessage struct {
 	Source string `json:"source"`
 	Stamp  int64  `json:"stamp"`
 	// AgeMS is the age of the oldest part of the state.
@@ -142,11 +142,11 @@
 	Changes json.RawMessage `json:"changes,omitempty"`
 	Packed  []byte          `json:"packed,omitempty"`
 
-	decoded regionChanges
+	decoded summaryChanges
 }
 
-// regionChanges are changes of a region's state. A usage is empty if there is none any more.
-type regionChanges struct {
+// summaryChanges are changes of a summary's state. A usage is empty if there is none any more.
+type summaryChanges struct {
 	Usage  map[string][]int64       `json:"usage,omitempty"`
 	Loaded map[string]*serverChange `json:"held,omitempty"`
 }
@@ -176,37 +176,37 @@
 }
 
 // publish records the changes of the state since the last call.
-func (region *region) publish(now time.Time) *regionOutbox {
-	outbox := region.outbox
+func (summary *summary) publish(now time.Time) *summaryOutbox {
+	outbox := summary.outbox
 	if outbox == nil {
-		outbox = &regionOutbox{
+		outbox = &summaryOutbox{
 			epoch: now.UnixNano(), usage: gossip.NewRecord[string, sched.Usage](), loaded: gossip.NewRecord[loadedKey, loadedValue](),
-			servers: map[string]*regionServer{},
+			servers: map[string]*summaryServer{},
 		}
-		region.outbox = outbox
+		summary.outbox = outbox
 	}
-	if outbox.published == region.Statement {
+	if outbox.published == summary.Statement {
 		return outbox
 	}
-	outbox.published = region.Statement
+	outbox.published = summary.Statement
 	before := outbox.position()
-	for server, usage := range region.usage {
+	for server, usage := range summary.usage {
 		outbox.usage.Set(server, coarseUsage(usage))
 	}
 	for server := range outbox.usage.All() {
-		if _, found := region.usage[server]; !found {
+		if _, found := summary.usage[server]; !found {
 			outbox.usage.Delete(server)
 		}
 	}
 	// All of a server comes in a row, so that a message that contains a part of the changes has it whole.
-	for name, server := range region.servers {
+	for name, server := range summary.servers {
 		if outbox.servers[name] != server {
 			outbox.loaded.Set(loadedKey{server: name}, server.head())
 			outbox.setAdapters(name, server)
 		}
 	}
 	for name, server := range outbox.servers {
-		if _, found := region.servers[name]; !found {
+		if _, found := summary.servers[name]; !found {
 			for adapter := range server.update.Loaded.Adapters {
 				outbox.loaded.Delete(loadedKey{server: name, adapter: adapter})
 			}
@@ -220,7 +220,7 @@
 	return outbox
 }
 
-func (outbox *regionOutbox) setAdapters(name string, server *regionServer) {
+func (outbox *summaryOutbox) setAdapters(name string, server *summaryServer) {
 	if known := outbox.servers[name]; known != nil {
 		for adapter := range known.update.Loaded.Adapters {
 			if _, found := server.update.Loaded.Adapters[adapter]; !found {
@@ -235,21 +235,21 @@
 }
 
 // position returns the position of a receiver that has all changes.
-func (outbox *regionOutbox) position() regionPosition {
-	return regionPosition{outbox.epoch, outbox.usage.Revision(), outbox.loaded.Revision()}
+func (outbox *summaryOutbox) position() summaryPosition {
+	return summaryPosition{outbox.epoch, outbox.usage.Revision(), outbox.loaded.Revision()}
 }
 
 // since returns the encoded changes since a receiver's position, with a bounded number of changes of loaded adapters.
-func (outbox *regionOutbox) since(position regionPosition, most int) (base regionPosition, changes encodedChanges, err error) {
-	base = regionPosition{outbox.epoch}
+func (outbox *summaryOutbox) since(position summaryPosition, most int) (base summaryPosition, changes encodedChanges, err error) {
+	base = summaryPosition{outbox.epoch}
 	if position.epoch() == outbox.epoch {
-		base = regionPosition{outbox.epoch, outbox.usage.Base(position.usage()), outbox.loaded.Base(position.loaded())}
+		base = summaryPosition{outbox.epoch, outbox.usage.Base(position.usage()), outbox.loaded.Base(position.loaded())}
 	}
 	key := changesKey{position: base, most: most}
 	if known, found := outbox.encoded[key]; found {
 		return base, known, nil
 	}
-	changed := regionChanges{Usage: map[string][]int64{}, Loaded: map[string]*serverChange{}}
+	changed := summaryChanges{Usage: map[string][]int64{}, Loaded: map[string]*serverChange{}}
 	usages, usageEnd := outbox.usage.Since(base.usage(), math.MaxInt)
 	for _, change := range usages {
 		changed.Usage[change.Key] = change.Value.Compact()
@@ -258,7 +258,7 @@
 	for _, change := range loaded {
 		changed.addLoaded(change)
 	}
-	next := encodedChanges{next: regionPosition{outbox.epoch, usageEnd, loadedEnd}, loaded: len(loaded)}
+	next := encodedChanges{next: summaryPosition{outbox.epoch, usageEnd, loadedEnd}, loaded: len(loaded)}
 	if len(usages)+len(loaded) > 0 {
 		if next.content, next.packed, err = changed.encode(); err != nil {
 			return base, next, err
@@ -268,7 +268,7 @@
 	return base, next, nil
 }
 
-func (changes *regionChanges) addLoaded(change gossip.Change[loadedKey, loadedValue]) {
+func (changes *summaryChanges) addLoaded(change gossip.Change[loadedKey, loadedValue]) {
 	server := changes.Loaded[change.Key.server]
 	if server == nil {
 		server = &serverChange{}
@@ -292,7 +292,7 @@
 }
 
 // encode returns the encoded changes: as they are if they are short, else compressed.
-func (changes *regionChanges) encode() (content json.RawMessage, packed []byte, err error) {
+func (changes *summaryChanges) encode() (content json.RawMessage, packed []byte, err error) {
 	content, err = json.Marshal(changes)
 	if err != nil || len(content) < minPacked {
 		return content, nil, err
@@ -312,7 +312,7 @@
 }
 
 // unpack decodes the changes in a message.
-func (message *regionMessage) unpack() error {
+func (message *summaryMessage) unpack() error {
 	content := []byte(message.Changes)
 	if len(message.Packed) > 0 {
 		unpacked, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(message.Packed)), maxUnpacked))
@@ -327,22 +327,22 @@
 	return oops.Wrap(json.Unmarshal(content, &message.decoded))
 }
 
-// regionStream is the state of a region that a peer sends, as of a position. It is partial until the peer has sent all of it once.
-type regionStream struct {
-	position regionPosition
+// summaryStream is the state of a summary that a peer sends, as of a position. It is partial until the peer has sent all of it once.
+type summaryStream struct {
+	position summaryPosition
 	complete bool
 	// usage is replaced as a whole; servers is not.
 	usage   map[string]sched.Usage
-	servers map[string]*regionServer
+	servers map[string]*summaryServer
 	// updatedAt is when the last changes arrived.
 	updatedAt time.Time
 }
 
 // apply applies the changes in a message. It reports false if they refer to a state that this host does not have.
-func (stream *regionStream) apply(message *regionMessage) bool {
-	base, next := regionPosition(message.At[:3]), regionPosition{message.At[0], message.At[3], message.At[4]}
+func (stream *summaryStream) apply(message *summaryMessage) bool {
+	base, next := summaryPosition(message.At[:3]), summaryPosition{message.At[0], message.At[3], message.At[4]}
 	if base.epoch() != stream.position.epoch() {
-		*stream = regionStream{position: regionPosition{base.epoch()}}
+		*stream = summaryStream{position: summaryPosition{base.epoch()}}
 	}
 	if base.usage() > stream.position.usage() || base.loaded() > stream.position.loaded() {
 		return false
@@ -353,18 +353,18 @@
 		stream.usage, usage = map[string]sched.Usage{}, 0
 	}
 	if base.loaded() == 0 && next.loaded() > 0 || stream.servers == nil {
-		stream.servers, loaded, stream.complete = map[string]*regionServer{}, 0, false
+		stream.servers, loaded, stream.complete = map[string]*summaryServer{}, 0, false
 	}
 	stream.applyUsage(message.decoded.Usage)
 	for name, change := range message.decoded.Loaded {
 		stream.applyLoaded(name, change)
 	}
-	stream.position = regionPosition{next.epoch(), max(usage, next.usage()), max(loaded, next.loaded())}
+	stream.position = summaryPosition{next.epoch(), max(usage, next.usage()), max(loaded, next.loaded())}
 	stream.complete = stream.complete || !message.Partial
 	return true
 }
 
-func (stream *regionStream) applyUsage(changes map[string][]int64) {
+func (stream *summaryStream) applyUsage(changes map[string][]int64) {
 	if len(changes) > 0 {
 		stream.usage = maps.Clone(stream.usage)
 	}
@@ -375,12 +375,12 @@
 	}
 }
 
-func (stream *regionStream) applyLoaded(name string, change *serverChange) {
+func (stream *summaryStream) applyLoaded(name string, change *serverChange) {
 	if change.Gone {
 		delete(stream.servers, name)
 		return
 	}
-	next := &regionServer{}
+	next := &summaryServer{}
 	if known := stream.servers[name]; known != nil {
 		*next = *known
 	}
@@ -401,12 +401,12 @@
 	stream.servers[name] = next
 }
 
-// accept replaces the state of the region by that of a stream, and returns the servers whose state has changed.
-func (region *region) accept(stream *regionStream) map[string]*regionServer {
-	region.usage = stream.usage
-	changed := map[string]*regionServer{}
+// accept replaces the state of the summary by that of a stream, and returns the servers whose state has changed.
+func (summary *summary) accept(stream *summaryStream) map[string]*summaryServer {
+	summary.usage = stream.usage
+	changed := map[string]*summaryServer{}
 	for name, server := range stream.servers {
-		known := region.servers[name]
+		known := summary.servers[name]
 		if !stream.complete {
 			server = server.with(known)
 		}
@@ -419,20 +419,20 @@
 				stream.servers[name] = known // Both relays state the same; it is kept once.
 			}
 		default:
-			region.servers[name], changed[name] = server, server
+			summary.servers[name], changed[name] = server, server
 		}
 	}
 	if stream.complete {
-		maps.DeleteFunc(region.servers, func(name string, _ *regionServer) bool { return stream.servers[name] == nil })
+		maps.DeleteFunc(summary.servers, func(name string, _ *summaryServer) bool { return stream.servers[name] == nil })
 	}
 	return changed
 }
 
-// heldIn returns the servers of a region that have the holder that another source states.
-func (region *region) heldIn(holderOf func(server string) string) map[string]*regionServer {
-	held := map[string]*regionServer{}
-	for _, name := range value.Sorted(region.servers) {
-		if server := region.servers[name]; holderOf(name) == server.holder {
+// heldIn returns the servers of a summary that have the holder that another source states.
+func (summary *summary) heldIn(holderOf func(server string) string) map[string]*summaryServer {
+	held := map[string]*summaryServer{}
+	for _, name := range value.Sorted(summary.servers) {
+		if server := summary.servers[name]; holderOf(name) == server.holder {
 			held[name] = server
 		}
 	}
--- a/io/coord/region_test.go
+++ b/io/coord/summary_test.go
@@ -209,7 +209,7 @@
 	coordinators := startHosts(t, store, hosts, "dc-0", "dc-1")
 	is.True(slowest(coordinators, "s1", 1) < 4*time.Second)
 	time.Sleep(5 * time.Second)
-	is.True(coordinators[1].do(func(time.Time) { is.True(coordinators[1].traffic.control.relays.topology.Regional) }))
+	is.True(coordinators[1].do(func(time.Time) { is.True(coordinators[1].traffic.control.relays.topology.Relayed) }))
 	server := coordinators[0].View().Servers["s1"]
 	coordinators[0].traffic.Start(clock.Now(), server, sched.Job{})
 	known := 0
--- a/io/coord/traffic_region.go
+++ b/io/coord/traffic_summary.go
@@ -7,15 +7,15 @@
 	"lentilproxy/core/value"
 )
 
-// applyRegion applies the state of another data centre: the sum of the usage by its hosts, which replaces their own reports, and what
+// applySummary applies the state of another data centre: the sum of the usage by its hosts, which replaces their own reports, and what
 // has changed in its servers.
-func (traffic *Traffic) applyRegion(now time.Time, dataCentre string, hosts []string, region *region, delay time.Duration, changed map[string]*regionServer) {
+func (traffic *Traffic) applySummary(now time.Time, dataCentre string, hosts []string, summary *summary, delay time.Duration, changed map[string]*summaryServer) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
 	for _, host := range hosts {
 		traffic.scheduler.SetPeerUsage(now, host, nil)
 	}
-	traffic.scheduler.SetRegionUsage(region.AsOf, delay, dataCentre, region.usage)
+	traffic.scheduler.SetSummaryUsage(summary.AsOf, delay, dataCentre, summary.usage)
 	for name, server := range changed {
 		traffic.scheduler.SetLoaded(name, server.update.StartedMillis, server.update.Loaded)
 		if address, found := traffic.lenders.addresses[server.holder]; found {
@@ -24,11 +24,11 @@
 	}
 }
 
-// dropRegion drops the usage of the hosts of another data centre.
-func (traffic *Traffic) dropRegion(dataCentre string) {
+// dropSummary drops the usage of the hosts of another data centre.
+func (traffic *Traffic) dropSummary(dataCentre string) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
-	traffic.scheduler.SetRegionUsage(time.Time{}, 0, dataCentre, nil)
+	traffic.scheduler.SetSummaryUsage(time.Time{}, 0, dataCentre, nil)
 }
 
 // sumUsage returns the sum of the usage by this host and some peers, by server, and the time of the oldest report in it.
