A request whose end overtakes it at a dispatcher gets no slot

Seen once in nine runs of io/coord beside load 30: TestFrozenDispatcherIsReplacedByTheNextHost, 'the dispatcher keeps a slot for a request that no longer waits'. The request and its withdrawal wait while the dispatcher is frozen, and are handled at the same time afterwards; if the withdrawal came first, the slot stayed in use until 250 ms after the request's deadline. TestWithdrawnRequestGetsNoSlot failed before.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -18,6 +18,8 @@
 	initialWork = 50 * time.Millisecond
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 4096
+	// maxWithdrawn bounds the tickets of which only the end has arrived so far.
+	maxWithdrawn = 1024
 	// maxClasses bounds what is remembered about classes of requests.
 	maxClasses = 256
 	// expiryGrace is how long after its request's deadline an assignment still counts if its host has not ended it.
@@ -79,6 +81,8 @@
 	ReasonQueueFull Reason = "queue_full"
 	// ReasonNoServer means that the request must not be sent to any of the servers.
 	ReasonNoServer Reason = "no_server"
+	// ReasonWithdrawn means that the end of the request arrived before the request.
+	ReasonWithdrawn Reason = "withdrawn"
 )
 
 // Decision is the end of a request's wait.
@@ -138,6 +142,8 @@
 	returns *order.Returns
 	// timelySince is since when requests that can be in time have waited without a break; zero if none waits.
 	timelySince time.Time
+	// withdrawn holds tickets that ended unused before they arrived.
+	withdrawn *value.Recent[Ticket, struct{}]
 }
 
 // New returns a queue without servers.
@@ -145,6 +151,7 @@
 	return &Queue{
 		startedAt: now, servers: map[string]*server{}, assignments: map[Ticket]*assignment{}, work: estimate{mean: initialWork},
 		classes: value.NewRecent[string, *estimate](maxClasses), order: order.New(now, fairSlack), returns: order.NewReturns(),
+		withdrawn: value.NewRecent[Ticket, struct{}](maxWithdrawn),
 	}
 }
 
@@ -172,6 +179,9 @@
 // Add adds a request to the waiting ones. It returns a refusal if no slot is expected to be free in time. Otherwise the request
 // waits until a result of Next contains it, which may be at once.
 func (queue *Queue) Add(now time.Time, request Request) (refusal Decision, refused bool) {
+	if _, withdrawn := queue.withdrawn.Get(request.Ticket); withdrawn {
+		return Decision{Ticket: request.Ticket, Reason: ReasonWithdrawn}, true
+	}
 	share := queue.order.Arrive(now, request.Workspace, request.Priority, 1)
 	added := &waiting{request: request, arrivedAt: now, key: request.Due, workspace: share, class: queue.classOf(request.Class)}
 	if !queue.hasServerFor(request) {
@@ -359,6 +369,9 @@
 	}
 	ended := queue.assignments[ticket]
 	if ended == nil {
+		if outcome == OutcomeUnused {
+			queue.withdrawn.Put(ticket, struct{}{})
+		}
 		return false
 	}
 	queue.drop(ended)
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -360,3 +360,17 @@
 	is.True(!refusedAt.Before(start.Add(overloadAfter)))
 	is.True(refusedAt.Before(start.Add(overloadAfter + 100*time.Millisecond)))
 }
+
+// Guards against a slot that stays in use until the deadline of a request whose end has overtaken it, as after a dispatcher was frozen:
+// both messages wait there, and are handled at the same time.
+func TestWithdrawnRequestGetsNoSlot(t *testing.T) {
+	is := is.New(t)
+	queue, now := New(time.Unix(1000, 0)), time.Unix(1000, 0)
+	queue.SetServers([]Server{{ID: "s", Slots: 1}})
+	ticket := Ticket{Host: "host-1", ID: 7}
+	is.True(!queue.End(now, ticket, OutcomeUnused))
+	refusal, refused := queue.Add(now, Request{Ticket: ticket, Due: now.Add(time.Second), Deadline: now.Add(2 * time.Second)})
+	is.True(refused)
+	is.Equal(refusal.Reason, ReasonWithdrawn)
+	is.True(queue.Idle())
+}
