Hosts lend small shares of limits, too

With 100 hosts or more, no host lent anything: a loan had to be more than a hundredth of the limit, which is the whole share of each. Now half of the lender's own share is enough. Up to 50 hosts nothing changes. TestLargeRequestOnManyHosts failed at 100 and 300 hosts.

--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -14,8 +14,10 @@
 	returnBefore = 300 * time.Millisecond
 	// reserveDuration is the time for which a lender keeps enough tokens to serve its recent demand.
 	reserveDuration = 200 * time.Millisecond
-	// minLoanFraction is the smallest fraction of a limit that is worth a new loan.
-	minLoanFraction = 0.01
+	// minLoanFraction is the smallest fraction of a limit that is worth a new loan, and minShareFraction that of the lender's own share,
+	// if this is less. With 100 hosts, a share is as small as minLoanFraction, so that no host lent anything.
+	minLoanFraction  = 0.01
+	minShareFraction = 0.5
 )
 
 // Outcome is the result of a charge.
@@ -275,7 +277,8 @@
 	}
 	added, level := account.lendable(request)
 	entry := account.loanTo(borrower)
-	worthwhile := added.rate > limit.Rate*minLoanFraction || added.burst > limit.Burst*minLoanFraction ||
+	worthwhile := added.rate > min(limit.Rate*minLoanFraction, account.base.rate*minShareFraction) ||
+		added.burst > min(limit.Burst*minLoanFraction, account.base.burst*minShareFraction) ||
 		(request.Shareless && request.Need > 0 && level >= request.Need)
 	if entry == nil && !worthwhile {
 		return noGrant
--- a/core/limit/requests_test.go
+++ b/core/limit/requests_test.go
@@ -174,3 +174,36 @@
 	_, outcome = borrower.Charge(now.Add(maxRequestInterval), "w", 30_000)
 	is.Equal(outcome, Charged)
 }
+
+// Guards against large requests that are refused although their workspace has room: with many hosts, each share is smaller than the
+// smallest loan that was granted.
+func TestLargeRequestOnManyHosts(t *testing.T) {
+	for _, hosts := range []int{24, 85, 100, 300} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			is := is.New(t)
+			const tokens = 12_000
+			var names []string
+			limiters := map[string]*Limiter{}
+			for number := range hosts {
+				name := fmt.Sprint("host-", number)
+				limiters[name] = New(name, WithOpenTime(epoch))
+				limiters[name].Configure(epoch, map[string]Entitlement{"w": {Rate: 30_000, Burst: 60_000, Fraction: 1 / float64(hosts)}})
+				limiters[name].Fill(epoch, "w")
+				names = append(names, name)
+			}
+			borrower, now := limiters["host-0"], epoch
+			borrower.Demand(now, "w", tokens)
+			for range 3 { // A request waits for as many rounds.
+				if _, outcome := borrower.Charge(now, "w", tokens); outcome == Charged {
+					return
+				}
+				for _, request := range borrower.LoanRequests(now, func(string) []string { return names }) {
+					borrower.Credit(now, now, limiters[request.Lender].Lend(now, "host-0", request))
+				}
+				now = now.Add(minRequestInterval)
+			}
+			_, outcome := borrower.Charge(now, "w", tokens)
+			is.Equal(outcome, Charged)
+		})
+	}
+}
