--- a/review/stand-2/loans.go
+++ b/review/stand-2/loans.go
@@ -4,9 +4,7 @@
 
 import (
 	"fmt"
-	"os"
 	"sort"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +22,10 @@
 	// promptSize and outputSize are the tokens of each request.
 	promptSize = 2900
 	outputSize = 100
+	// othersPercent is what the tenant sends to each of the other machines in the end, in percent of its quota.
+	othersPercent = 22
+	// restartDelay is how long a killed process stays away.
+	restartDelay = 500 * time.Millisecond
 )
 
 // source sends requests to a daemon at a rate that can be changed.
@@ -73,8 +75,8 @@
 	}
 }
 
-// playLoans: the tenant is busy in one zone, so that the machine there borrows the shares of the others. These are killed and start
-// again. Then a part of the tenant's callers comes to the other zones.
+// playLoans: the tenant is busy at one machine, which borrows the shares of the others. The processes of the
+// others are killed at the same moment and start again. Then a few of the tenant's callers come to these too.
 func playLoans(stand *stand) (bool, error) {
 	config := stub.NewConfig()
 	config.Rate = tenantRate
@@ -84,7 +86,7 @@
 			return false, err
 		}
 	}
-	for _, zone := range []string{"a", "b", "c", "d"} {
+	for _, zone := range []string{"a", "a", "b", "c"} {
 		if _, err := stand.addDaemon(zone, stand.listener.Addr().String()); err != nil {
 			return false, err
 		}
@@ -107,25 +109,14 @@
 	sources[0].rate.Store(2 * full)
 	time.Sleep(8 * time.Second)
 	if stand.trouble {
-		kills, _ := strconv.Atoi(os.Getenv("KILLS"))
-		gap, _ := strconv.Atoi(os.Getenv("GAP_MS"))
-		for number := range max(1, kills) {
-			if number > 0 {
-				time.Sleep(time.Duration(gap) * time.Millisecond)
-			}
-			if err := stand.killOthers(sources[0].daemon); err != nil {
-				return false, err
-			}
+		if err := killTogether(stand.daemons[1:]); err != nil {
+			return false, err
 		}
 	}
-	wait, _ := strconv.Atoi(os.Getenv("WAIT_MS"))
-	time.Sleep(time.Duration(wait) * time.Millisecond)
-	stand.record("callers of the tenant come to the other machines too")
-	mine, others := 100, 50
-	_, _ = fmt.Sscanf(os.Getenv("RATES"), "%d,%d", &mine, &others)
-	sources[0].rate.Store(full * int64(mine) / 100)
+	time.Sleep(4 * time.Second)
+	stand.record("a few callers of the tenant come to the other machines too")
 	for _, source := range sources[1:] {
-		source.rate.Store(full * int64(others) / 100)
+		source.rate.Store(full * othersPercent / 100)
 	}
 	time.Sleep(20 * time.Second)
 	for _, source := range sources {
@@ -135,22 +126,16 @@
 	return stand.judgeQuota(spending), nil
 }
 
-// killOthers kills all daemons but one, and starts them again.
-func (stand *stand) killOthers(spared *daemon) error {
+// killTogether kills daemons at the same moment, and starts them again.
+func killTogether(daemons []*daemon) error {
 	var group sync.WaitGroup
-	failures := make(chan error, len(stand.daemons))
-	pause, err := strconv.Atoi(os.Getenv("PAUSE_MS"))
-	if err != nil {
-		pause = 300
-	}
-	for _, daemon := range stand.daemons {
-		if daemon != spared {
-			group.Go(func() {
-				if err := daemon.restart(time.Duration(pause) * time.Millisecond); err != nil {
-					failures <- err
-				}
-			})
-		}
+	failures := make(chan error, len(daemons))
+	for _, daemon := range daemons {
+		group.Go(func() {
+			if err := daemon.restart(restartDelay); err != nil {
+				failures <- err
+			}
+		})
 	}
 	group.Wait()
 	close(failures)
--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -177,7 +177,7 @@
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 
 // addDaemon renders the settings of a daemon from the template of the deploy file, and starts it.
-func (stand *stand) addDaemon(zone string, store string) (*daemon, error) {
+func (stand *stand) addDaemon(zone, store string) (*daemon, error) {
 	number := len(stand.daemons) + 1
 	added := &daemon{stand: stand, name: fmt.Sprintf("edge-%s-%d", zone, number), ip: fmt.Sprintf("127.%d.0.%d", stand.subnet, number)}
 	added.frontend, added.ready = added.ip+":8221", added.ip+":8224"
