--- a/review/stand-2/loans.go
+++ b/review/stand-2/loans.go
@@ -123,7 +123,7 @@
 		source.rate.Store(0)
 	}
 	time.Sleep(time.Second)
-	return stand.judgeQuota(spending), nil
+	return stand.judgeQuota(spending, tenantRate, stand.started), nil
 }
 
 // killTogether kills daemons at the same moment, and starts them again.
@@ -147,8 +147,9 @@
 	sentAt, at time.Time
 }
 
-// judgeQuota reports whether more tokens were both sent and run in a window than the rule allows.
-func (stand *stand) judgeQuota(spending *spending) bool {
+// judgeQuota reports whether more tokens were both sent and run in a window that begins after a time than the rule allows. The burst is
+// as large as the quota of a second.
+func (stand *stand) judgeQuota(spending *spending, limit float64, from time.Time) bool {
 	var all []ran
 	seconds := map[int]int{}
 	perServer := map[string]int{}
@@ -163,12 +164,15 @@
 	}
 	for second := range int(time.Since(stand.started).Seconds()) + 1 {
 		if seconds[second] > 0 {
-			stand.record("second %d: %d tokens ran, %.2f of the quota", second, seconds[second], float64(seconds[second])/tenantRate)
+			stand.record("second %d: %d tokens ran, %.2f of the quota", second, seconds[second], float64(seconds[second])/limit)
 		}
 	}
 	sort.Slice(all, func(left, right int) bool { return all[left].sentAt.Before(all[right].sentAt) })
 	most, mostAt := 0, time.Time{}
 	for _, first := range all {
+		if first.sentAt.Before(from) {
+			continue
+		}
 		tokens := 0
 		for _, other := range all {
 			if !other.sentAt.Before(first.sentAt) && other.at.Sub(first.sentAt) <= quotaWindow {
@@ -179,7 +183,7 @@
 			most, mostAt = tokens, first.sentAt
 		}
 	}
-	allowed := float64(tenantRate)*quotaWindow.Seconds() + tenantRate
+	allowed := limit*quotaWindow.Seconds() + limit
 	allowed = allowed*(1+quotaOverage) + quotaAllowance
 	stand.record("answers by status: %v; requests by server: %v", spending.statuses, perServer)
 	stand.record("most tokens in a window of %v: %d, from %.3f s on; the rule allows %.0f", quotaWindow, most, mostAt.Sub(stand.started).Seconds(), allowed)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,8 +20,9 @@
 
 // cases maps the names of cases to the functions that play them. They return whether the rule was broken.
 var cases = map[string]func(stand *stand) (broken bool, err error){
-	"drain": playDrain,
-	"loans": playLoans,
+	"drain":   playDrain,
+	"loans":   playLoans,
+	"lowered": playLowered,
 }
 
 func main() {
