--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 
 // cases maps the names of cases to the functions that play them. They return whether the rule was broken.
 var cases = map[string]func(stand *stand) (broken bool, err error){
+	"hidden":  playHidden,
 	"drain":   playDrain,
 	"loans":   playLoans,
 	"lowered": playLowered,
--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -141,6 +141,31 @@
 	return added, nil
 }
 
+// replace adds a server, in the place of an earlier one with the same name.
+func (stand *stand) replace(added *server) {
+	stand.mutex.Lock()
+	kept := stand.servers[:0:0]
+	for _, other := range stand.servers {
+		if other.ID() != added.ID() {
+			kept = append(kept, other)
+		}
+	}
+	stand.servers = append(kept, added)
+	stand.mutex.Unlock()
+	stand.register()
+}
+
+// silence ends the heartbeats of a server; its entry stays.
+func (stand *stand) silence(id string) {
+	stand.mutex.Lock()
+	defer stand.mutex.Unlock()
+	for _, server := range stand.servers {
+		if server.ID() == id {
+			server.state = ""
+		}
+	}
+}
+
 // register writes the registrations of all servers.
 func (stand *stand) register() {
 	stand.mutex.Lock()
