--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -17,8 +17,9 @@
 const (
 	// drainTimeout is drain_timeout_ms of the small sites.
 	drainTimeout = 2 * time.Second
-	// outage is the length of the store's outage. The largest one in the small sites is 4.5 s.
-	outage = 3800 * time.Millisecond
+	// minOutage and maxOutage bound the length of the store's outage. The largest one in the small sites is 4.5 s.
+	minOutage = 2800 * time.Millisecond
+	maxOutage = 4400 * time.Millisecond
 	// stayTime is how long a worker whose entry was removed goes on serving.
 	stayTime = 4 * time.Second
 )
@@ -81,10 +82,9 @@
 	}
 	time.Sleep(8 * time.Second)
 	if stand.trouble {
-		awaitRead(fronts)
 		stand.record("the store is down")
 		stand.store.SetFaults(stub.StoreFaults{Silent: true})
-		time.Sleep(outage)
+		awaitTries(fronts)
 		stand.store.SetFaults(stub.StoreFaults{})
 		stand.record("the store is back")
 	}
@@ -110,15 +110,22 @@
 	return stand.judgeDrain(removals, traffic, signalled), nil
 }
 
-// awaitRead returns after the next read of the servers' table. So the outage always has the same phase.
-func awaitRead(fronts map[*daemon]*storeFront) {
-	for began := time.Now().UnixNano(); ; time.Sleep(time.Millisecond) {
+// awaitTries returns when the outage may end: a moment after most daemons have tried to read the servers' table at the same time. They
+// fail, and one of the others reads first.
+func awaitTries(fronts map[*daemon]*storeFront) {
+	time.Sleep(minOutage)
+	for waited := minOutage; waited < maxOutage; waited += time.Millisecond {
+		time.Sleep(time.Millisecond)
+		together := 0
 		for _, front := range fronts {
-			if front.readAt.Load() > began {
-				time.Sleep(20 * time.Millisecond)
-				return
+			if time.Since(time.Unix(0, front.readAt.Load())) < 60*time.Millisecond {
+				together++
 			}
 		}
+		if together > len(fronts)/2 {
+			time.Sleep(100 * time.Millisecond)
+			return
+		}
 	}
 }
 
