--- a/review/stand-2/filled.go
+++ b/review/stand-2/filled.go
@@ -41,7 +41,7 @@
 }
 
 func head(id string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nLentilproxy-Attempt-Id: %s\r\nLentilproxy-Server-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n", id, id, answerBytes)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s\r\nContent-Length: %d\r\n\r\n", names.ID, id, names.Signature, id, answerBytes)
 }
 
 // respond answers a request. A garbled answer stops after its first half; the connection stays open, and the answer to the request before
@@ -60,7 +60,7 @@
 		}
 		garbler.mutex.Unlock()
 		if !garbled {
-			writer.Header().Set("Lentilproxy-Server-Signature", "sig."+arrival.ID)
+			writer.Header().Set(names.Signature, "sig."+arrival.ID)
 			writer.Header().Set("Content-Length", fmt.Sprint(answerBytes))
 			_, _ = writer.Write([]byte(content(arrival.ID)))
 			return
--- a/review/stand-2/hidden.go
+++ b/review/stand-2/hidden.go
@@ -112,7 +112,7 @@
 			every(50*time.Millisecond, stop, func() {
 				sent := request{
 					method: http.MethodPost, path: stub.ChatPath + "x", key: stub.Key, id: stub.NewID(), body: "a sound prompt",
-					header: map[string]string{"Lentilproxy-Model": stub.Model, "Lentilproxy-Token-Usage": "200,20", "Lentilproxy-Prompt-Prefix": fmt.Sprintf("5a2ed:100,%08x:100", number.Add(1))},
+					header: map[string]string{names.Model: stub.Model, names.Tokens: "200,20", names.Parts: fmt.Sprintf("5a2ed:100,%08x:100", number.Add(1))},
 				}
 				sound.Add(1)
 				if got := send(client, daemon, sent); got.status == http.StatusOK && got.err == nil {
@@ -133,7 +133,7 @@
 			unique := number.Add(1)
 			send(long, stand.daemons[unique%int64(len(stand.daemons))], request{
 				method: http.MethodPost, path: stub.ChatPath + "x", key: stub.Key, id: stub.NewID(), body: fmt.Sprintf("prompt %d", unique),
-				header: map[string]string{"Lentilproxy-Model": stub.Model, "Lentilproxy-Token-Usage": "1300,20", "Lentilproxy-Prompt-Prefix": parts(unique, place)},
+				header: map[string]string{names.Model: stub.Model, names.Tokens: "1300,20", names.Parts: parts(unique, place)},
 			})
 		})
 	})
--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -151,7 +151,7 @@
 	ask := func(adapter string) {
 		got := send(client, stand.daemons[0], request{
 			method: http.MethodPost, path: stub.ChatPath + "x", key: stub.Key, id: stub.NewID(), body: "a prompt",
-			header: map[string]string{"Lentilproxy-Model": stub.Model + "/" + adapter, "Lentilproxy-Token-Usage": "100,20"},
+			header: map[string]string{names.Model: stub.Model + "/" + adapter, names.Tokens: "100,20"},
 		})
 		stand.record("a caller asks for adapter %s: %d after %d ms", adapter, got.status, got.tookTime.Milliseconds())
 	}
--- a/review/stand-2/loans.go
+++ b/review/stand-2/loans.go
@@ -62,7 +62,7 @@
 		go func() {
 			sent := request{
 				method: "POST", path: stub.ChatPath + "x", key: stub.Key, body: "a prompt", id: stub.NewID(),
-				header: map[string]string{"Lentilproxy-Model": stub.Model, "Lentilproxy-Token-Usage": fmt.Sprintf("%d,%d", promptSize, outputSize)},
+				header: map[string]string{names.Model: stub.Model, names.Tokens: fmt.Sprintf("%d,%d", promptSize, outputSize)},
 			}
 			spending.mutex.Lock()
 			spending.sentAt[sent.id] = time.Now()
--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -347,8 +347,8 @@
 	}
 	made.GetBody = nil
 	made.Host = stub.Host
-	made.Header.Set("Lentilproxy-Attempt-Id", sent.id)
-	made.Header.Set("Lentilproxy-Deadline-Ms", "6000")
+	made.Header.Set(names.ID, sent.id)
+	made.Header.Set(names.Deadline, "6000")
 	if sent.key != "" {
 		made.Header.Set("Authorization", "Token "+sent.key)
 	}
@@ -362,7 +362,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	got.status, got.signed, got.body, got.err = response.StatusCode, response.Header.Get("Lentilproxy-Server-Signature") == "sig."+sent.id, string(content), err
+	got.status, got.signed, got.body, got.err = response.StatusCode, response.Header.Get(names.Signature) == "sig."+sent.id, string(content), err
 	got.tookTime = time.Since(got.sentAt)
 	return got
 }
