--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -114,8 +114,7 @@
 // fail, and one of the others reads first.
 func awaitTries(fronts map[*daemon]*storeFront) {
 	time.Sleep(minOutage)
-	for waited := minOutage; waited < maxOutage; waited += time.Millisecond {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(maxOutage - minOutage); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		together := 0
 		for _, front := range fronts {
 			if time.Since(time.Unix(0, front.readAt.Load())) < 60*time.Millisecond {
