Coord: lease holders keep servers that may register again

Cause: the clean-up looked at the mirror of the servers' table only, and not at the servers kept for the grace period.

--- a/io/coord/fleet.go
+++ b/io/coord/fleet.go
@@ -202,9 +202,11 @@
 	return names
 }
 
+// isRegistered reports whether a server is registered, or may register again after an outage of the store.
 func (control *control) isRegistered(server string) bool {
 	row, found := control.servers.Rows()[server]
-	return found && !row.Deleted
+	_, lapsed := control.lapsedUntil[server]
+	return found && !row.Deleted || lapsed
 }
 
 // releaseServers releases the host's servers, so that other hosts claim them without waiting for the end of its lease.
--- a/io/coord/outage_test.go
+++ b/io/coord/outage_test.go
@@ -109,7 +109,8 @@
 	})
 }
 
-// Guards against sound servers that are dropped because their registrations expired during an outage of whose end a peer told.
+// Guards against sound servers that are dropped because their registrations expired during an outage of whose end a peer told, and
+// against the deletion of their lease holders' rows, which others could claim at once.
 func TestLapsedServersAreKeptWhoeverReadsFirst(t *testing.T) {
 	servers := func(control *control) *tableMirror { return control.servers }
 	lapsed := lentilproxy.Row{Key: "s1", Version: 20, Deleted: true}
@@ -124,9 +125,11 @@
 				test.now = test.now.Add(4 * time.Second)
 				learn(test)
 				is.True(test.used("s1"))
+				is.True(test.isRegistered("s1"))
 				test.now = test.now.Add(mirror.LapseGrace)
 				test.publish(test.now)
 				is.True(!test.used("s1"))
+				is.True(!test.isRegistered("s1"))
 			})
 		})
 	}
