Place: a load without a response keeps its slot

On the own interface, a load that got no response gave its slot free at once. The engine may carry it out later: the next load was then rejected for want of a slot, or evicted an adapter in use.

Cause: the owner treated a missing response like a rejection. It now keeps the slot until a status shows the instance, or one that was asked for after the longest time of a load does not.

--- a/core/place/manager.go
+++ b/core/place/manager.go
@@ -49,6 +49,9 @@
 	// untracked maps instances that the engine holds and the manager does not track to the time at which they may be
 	// unloaded.
 	untracked map[string]time.Time
+	// open maps instances whose loads got no response to the time by which these have certainly ended. Each may take a slot until a later
+	// report.
+	open map[string]time.Time
 	// noLoadsUntil is the time until which the engine gets no loads.
 	noLoadsUntil time.Time
 }
@@ -144,7 +147,7 @@
 		named.Add(spec.Name)
 		known := manager.engines[spec.Name]
 		if known == nil {
-			known = &engine{untracked: map[string]time.Time{}}
+			known = &engine{untracked: map[string]time.Time{}, open: map[string]time.Time{}}
 			manager.engines[spec.Name] = known
 		}
 		known.spec = spec
@@ -349,6 +352,17 @@
 	manager.failures[entry.model] = failure
 }
 
+// LoadUnanswered records that a load got no response, so that the engine may still carry it out. It counts as failed, and its slot stays
+// occupied until a report shows the instance or the load has certainly ended before.
+func (manager *Manager) LoadUnanswered(now time.Time, name string) {
+	if entry := manager.instances[name]; entry != nil {
+		if engine := manager.engines[entry.engine]; engine != nil {
+			engine.open[name] = now.Add(MaxLoadTime)
+		}
+	}
+	manager.FinishLoad(now, name, false)
+}
+
 // FinishUnload records the result of an unload. A failed unload is retried; until it succeeds, the adapter slot stays
 // occupied.
 func (manager *Manager) FinishUnload(now time.Time, engineName, name string, ok bool) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -28,6 +28,8 @@
 	MaxInstanceUse = PermitDuration + RequestDeadline + ClockDriftMargin
 	// LoadBackoff is the wait after a failed load; it doubles with each further failure.
 	LoadBackoff = 250 * time.Millisecond
+	// MaxLoadTime is how long an engine may take for a load, whether the owner gets a response or not.
+	MaxLoadTime = 30 * time.Second
 	// MaxLoadFailures is the number of consecutive failures after which requests for an adapter are refused.
 	MaxLoadFailures = 4
 	// MissingInstanceBackoff is how long an engine gets no loads after a host failed to reach an instance on it.
--- a/core/place/plan.go
+++ b/core/place/plan.go
@@ -168,7 +168,7 @@
 
 func (manager *Manager) state(now time.Time, engine *engine) lentilproxy.EngineState {
 	state := lentilproxy.EngineState{
-		Name: engine.spec.Name, BaseModel: engine.spec.BaseModel, Slots: engine.spec.Slots - len(engine.untracked),
+		Name: engine.spec.Name, BaseModel: engine.spec.BaseModel, Slots: engine.spec.Slots - len(engine.untracked) - len(engine.open),
 	}
 	for _, entry := range manager.byEngine[engine.spec.Name] {
 		inFlight := entry.inFlight()
--- a/core/place/takeover.go
+++ b/core/place/takeover.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"time"
 
 	"lentilproxy/core/value"
@@ -17,6 +18,7 @@
 	engine.up = true
 	engine.noLoadsUntil = time.Time{}
 	present := value.NewSet(loaded...)
+	maps.DeleteFunc(engine.open, func(instance string, until time.Time) bool { return present.Has(instance) || !askedAt.Before(until) })
 	for _, instance := range loaded {
 		if _, tracked := manager.instances[instance]; tracked {
 			continue
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -95,7 +96,11 @@
 	request.Header.Set(FencingHeader, strconv.FormatInt(fencingToken, 10))
 	response, err := client.http.Do(request)
 	if err != nil {
-		return failure.Wrap(err)
+		var dialled *net.OpError
+		if errors.As(err, &dialled) && dialled.Op == "dial" {
+			return failure.Wrap(err)
+		}
+		return failure.Wrap(errors.Join(lentilproxy.ErrNoResponse, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, _ := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"time"
 
@@ -327,7 +328,12 @@
 
 func (control *control) finishOrder(now time.Time, owned *ownedPool, order place.Order, err error) {
 	if order.Kind == place.OrderLoad {
-		owned.manager.FinishLoad(now, order.Instance, err == nil)
+		if errors.Is(err, lentilproxy.ErrNoResponse) {
+			owned.manager.LoadUnanswered(now, order.Instance)
+			control.node.log.Info("load without a response", "pool", owned.name, "engine", order.Engine, "instance", order.Instance, "error", err.Error())
+		} else {
+			owned.manager.FinishLoad(now, order.Instance, err == nil)
+		}
 		control.node.metrics.Counter("loads").Inc(1)
 		if err != nil {
 			control.node.metrics.Counter("load_failures").Inc(1)
--- a/lentilproxy.go
+++ b/lentilproxy.go
@@ -16,6 +16,9 @@
 // ErrHistoryLost reports that a store no longer has the requested changes. The caller has to scan the table instead.
 var ErrHistoryLost = errors.New("the store has dropped the requested history")
 
+// ErrNoResponse reports that a backend server has not responded to an order that may have reached it.
+var ErrNoResponse = errors.New("the server has not responded, and may still carry out the order")
+
 // ErrNotPermitted reports that an order was not sent, since the host's lease had ended before its first byte was sent.
 var ErrNotPermitted = errors.New("the host may no longer send the order")
 
