Limit: loans end with the share and the process they came from

After the operator had lowered a quota, a workspace got 3.6 times the new one for good; after lenders had been killed, up to 1.7 times its quota.

Cause: a lender extended loans that exceeded its share, which a lower limit or more members had made smaller, as long as it had no demand itself. IDs of loans began at 1 in each process, so that a borrower took a grant of a new process for an extension of an old loan.

A lender now lets loans beyond its share expire, IDs begin at a random number in each process, and no host uses more than the whole limit. A loan to a process that has ended is not extended for the next one, which does not know of it.

Evidence: TestLoansEndWithWhatTheyWerePartsOf fails without either change (116.7 of 100; 1,333 of 1,000 tokens a second), passes 3,000 draws.

--- a/core/limit/account.go
+++ b/core/limit/account.go
@@ -13,8 +13,10 @@
 
 // loan is a share that is lent to or borrowed from a peer until it expires.
 type loan struct {
-	id        int64
-	peer      string
+	id   int64
+	peer string
+	// run identifies the borrower's process, on the lender.
+	run       int64
 	share     share
 	expiresAt time.Time
 }
@@ -34,7 +36,9 @@
 // account holds one workspace's shares on one host.
 type account struct {
 	// base is the host's own share, including the parts that it has lent.
-	base         share
+	base share
+	// whole is the share of all hosts together, or nothing if it is unknown.
+	whole        share
 	level        float64
 	accruedAt    time.Time
 	lent         []loan
@@ -66,13 +70,17 @@
 	return share{rate: max(0, own.rate), burst: max(0, own.burst)}
 }
 
-// effective returns the share that the host may use at accruedAt: its own unlent share and what it has borrowed.
+// effective returns the share that the host may use at accruedAt: its own unlent share and what it has borrowed, which may still be
+// parts of a larger limit.
 func (account *account) effective() share {
 	sum := account.unlent()
 	for _, entry := range account.borrowed {
 		sum.rate += entry.share.rate
 		sum.burst += entry.share.burst
 	}
+	if account.whole != (share{}) {
+		sum.rate, sum.burst = min(sum.rate, account.whole.rate), min(sum.burst, account.whole.burst)
+	}
 	return sum
 }
 
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -14,12 +14,17 @@
 	returnBefore = 300 * time.Millisecond
 	// reserveDuration is the time for which a lender keeps enough tokens to serve its recent demand.
 	reserveDuration = 200 * time.Millisecond
+	// shareTolerance is the part of a share that rounding may add to what is lent of it.
+	shareTolerance = 1e-9
 	// minLoanFraction is the smallest fraction of a limit that is worth a new loan, and minShareFraction that of the lender's own share,
 	// if this is less. With 100 hosts, a share is as small as minLoanFraction, so that no host lent anything.
 	minLoanFraction  = 0.01
 	minShareFraction = 0.5
 )
 
+// MaxRun bounds the random numbers that identify processes. It is far above the number of loans that a process grants.
+const MaxRun = 1 << 48
+
 // Outcome is the result of a charge.
 type Outcome int
 
@@ -51,6 +56,8 @@
 	Burst float64 `json:"burst"`
 	// Demand is the borrower's recent demand in tokens per second.
 	Demand float64 `json:"demand"`
+	// Run identifies the borrower's process. A loan to an earlier process of the same host is not extended: only that process knew of it.
+	Run int64 `json:"run,omitempty"`
 	// Shareless reports whether the borrower holds no share of its own, so that it depends on loans however small.
 	Shareless bool `json:"shareless,omitempty"`
 	// Need is the size of the largest waiting request, in tokens.
@@ -87,7 +94,8 @@
 	// opensAt is when the host's own shares may be used, if hasOpenTime is set.
 	opensAt     time.Time
 	hasOpenTime bool
-	// lastID is the ID of the newest loan that the host has granted.
+	// run identifies the process, and lastID is the ID of the newest loan that it has granted.
+	run    int64
 	lastID int64
 	// lenderCursor is the round-robin position of the lender that was asked last.
 	lenderCursor int
@@ -108,6 +116,12 @@
 	return func(limiter *Limiter) { limiter.opensAt, limiter.hasOpenTime = opensAt, true }
 }
 
+// WithRun identifies the process among all that the host ever has. IDs of loans are counted from there, so that no two processes give the
+// same one to different loans.
+func WithRun(run int64) Option {
+	return func(limiter *Limiter) { limiter.run, limiter.lastID = run, run }
+}
+
 // SetOverdraft lets every account go below zero by some tokens. The hosts together exceed a limit by at most the sum of
 // their overdrafts, since overdrawn tokens have to accrue before more can be charged.
 func (limiter *Limiter) SetOverdraft(tokens float64) { limiter.overdraft = tokens }
@@ -135,7 +149,7 @@
 	}
 	for workspace, account := range limiter.accounts {
 		account.advance(now)
-		account.base = limiter.base(now, workspace)
+		account.base, account.whole = limiter.base(now, workspace), limiter.whole(workspace)
 		account.clampToBurst()
 	}
 }
@@ -166,6 +180,12 @@
 	return share{rate: limit.Rate * limit.Fraction, burst: limit.Burst * limit.Fraction}
 }
 
+// whole returns the share of all hosts together, or nothing if the workspace has no limit.
+func (limiter *Limiter) whole(workspace string) share {
+	limit := limiter.limits[workspace]
+	return share{rate: limit.Rate, burst: limit.Burst}
+}
+
 func (limiter *Limiter) account(now time.Time, workspace string) *account {
 	known := limiter.accounts[workspace]
 	if known == nil {
@@ -177,7 +197,7 @@
 		if limiter.Opened(now) && known.accruedAt.Before(limiter.opensAt) {
 			known.advance(limiter.opensAt)
 		}
-		known.base = limiter.base(now, workspace)
+		known.base, known.whole = limiter.base(now, workspace), limiter.whole(workspace)
 	}
 	known.advance(now)
 	return known
@@ -276,7 +296,7 @@
 		account.peerDemand = max(account.peerDemand, request.Demand)
 	}
 	added, level := account.lendable(request)
-	entry := account.loanTo(borrower)
+	entry := account.loanTo(borrower, request.Run)
 	worthwhile := added.rate > min(limit.Rate*minLoanFraction, account.base.rate*minShareFraction) ||
 		added.burst > min(limit.Burst*minLoanFraction, account.base.burst*minShareFraction) ||
 		(request.Shareless && request.Need > 0 && level >= request.Need)
@@ -285,10 +305,10 @@
 	}
 	if entry == nil {
 		limiter.lastID++
-		account.lent = append(account.lent, loan{id: limiter.lastID, peer: borrower})
+		account.lent = append(account.lent, loan{id: limiter.lastID, peer: borrower, run: request.Run})
 		entry = &account.lent[len(account.lent)-1]
-	} else if account.lacksOwnShare() {
-		// A lender that needs its share itself lets the loan expire.
+	} else if account.lacksOwnShare() || account.lentTooMuch() {
+		// A lender that needs its share itself, or whose share has become smaller than what it has lent, lets the loan expire.
 		return noGrant
 	}
 	entry.share.rate += added.rate
@@ -330,9 +350,19 @@
 	return held.rate < min(account.base.rate, account.demand.rate*reserveFactor)
 }
 
-func (account *account) loanTo(borrower string) *loan {
+// lentTooMuch reports whether the host has lent more than its share, which a change of the limit or of the members may have made smaller.
+func (account *account) lentTooMuch() bool {
+	left := account.base
+	for _, entry := range account.lent {
+		left.rate -= entry.share.rate
+		left.burst -= entry.share.burst
+	}
+	return left.rate < -shareTolerance*account.base.rate || left.burst < -shareTolerance*account.base.burst
+}
+
+func (account *account) loanTo(borrower string, run int64) *loan {
 	for index := range account.lent {
-		if account.lent[index].peer == borrower {
+		if account.lent[index].peer == borrower && account.lent[index].run == run {
 			return &account.lent[index]
 		}
 	}
@@ -346,7 +376,7 @@
 		return
 	}
 	account := limiter.account(now, grant.Workspace)
-	entry := account.borrowedLoan(grant)
+	entry := findLoan(account.borrowed, grant.Lender, grant.ID)
 	if entry == nil {
 		account.borrowed = append(account.borrowed, loan{id: grant.ID, peer: grant.Lender})
 		entry = &account.borrowed[len(account.borrowed)-1]
@@ -363,10 +393,11 @@
 	}
 }
 
-func (account *account) borrowedLoan(grant LoanGrant) *loan {
-	for index := range account.borrowed {
-		if account.borrowed[index].id == grant.ID && account.borrowed[index].peer == grant.Lender {
-			return &account.borrowed[index]
+// findLoan returns the loan with an ID that is lent to or borrowed from a peer, or nil.
+func findLoan(loans []loan, peer string, id int64) *loan {
+	for index := range loans {
+		if loans[index].id == id && loans[index].peer == peer {
+			return &loans[index]
 		}
 	}
 	return nil
@@ -429,8 +460,8 @@
 // AcceptReturn takes back shares and tokens that a borrower has returned. It ignores returns of loans that have ended.
 func (limiter *Limiter) AcceptReturn(now time.Time, borrower string, loanReturn LoanReturn) {
 	account := limiter.account(now, loanReturn.Workspace)
-	entry := account.loanTo(borrower)
-	if entry == nil || entry.id != loanReturn.ID || loanReturn.Rate < 0 || loanReturn.Burst < 0 || loanReturn.Level < 0 {
+	entry := findLoan(account.lent, borrower, loanReturn.ID)
+	if entry == nil || loanReturn.Rate < 0 || loanReturn.Burst < 0 || loanReturn.Level < 0 {
 		return
 	}
 	entry.share.rate = max(0, entry.share.rate-loanReturn.Rate)
--- a/core/limit/requests.go
+++ b/core/limit/requests.go
@@ -45,7 +45,7 @@
 				continue
 			}
 			requests = append(requests, LoanRequest{
-				Workspace: workspace, Rate: rate, Burst: burst, Demand: account.demand.rate, Need: account.largestWaiting, Lender: lender,
+				Workspace: workspace, Rate: rate, Burst: burst, Demand: account.demand.rate, Need: account.largestWaiting, Lender: lender, Run: limiter.run,
 				Shareless: limiter.limits[workspace].Fraction == 0,
 			})
 		}
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -81,7 +82,7 @@
 		bounds: coordinator.settings.Bounds, pacers: newPacers(),
 	}
 	traffic.dispatchers = newDispatchers(coordinator, traffic.usageReports)
-	limiter := limit.New(coordinator.settings.Host.Name, limit.WithOpenTime(clock.Now()))
+	limiter := limit.New(coordinator.settings.Host.Name, limit.WithOpenTime(clock.Now()), limit.WithRun(rand.Int64N(limit.MaxRun)))
 	traffic.loans = loans.New(coordinator.ctx, coordinator.settings.Host.Name, limiter, coordinator.peers.Call, borrowWait,
 		func() { coordinator.post(traffic.exchangeLoans) }, loans.WithClock(clock.Now), loans.WithMetrics(coordinator.metrics))
 	return traffic
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 		node: node, permits: place.NewPermitTracker(), balancer: route.NewBalancer(node.settings.Host.DataCentre), crashes: crash.NewTracker(),
 		queue: queue.New(), waiters: map[int64]*waiter{}, acquiring: map[acquireKey]chan struct{}{},
 	}
-	traffic.loans = loans.New(node.background, node.Name(), limit.New(node.Name()), node.peers.Call, borrowWait,
+	traffic.loans = loans.New(node.background, node.Name(), limit.New(node.Name(), limit.WithRun(mathrand.Int64N(limit.MaxRun))), node.peers.Call, borrowWait,
 		func() { node.loop.Post(func(now time.Time) { traffic.control.exchangeSoon(now) }) })
 	return traffic
 }
