Retry: a reload of the settings keeps what was spent

Each reload of changed settings granted every service half of its retry budget anew, so that reloads within a window could exceed it.

Cause: the budgets were dropped, since bounds could not be changed.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -37,6 +37,17 @@
 	return budget
 }
 
+// SetBounds replaces the bounds. Retries that were taken under the former ones still count.
+func (budget *Budget) SetBounds(now time.Time, ratio, allowance float64, window time.Duration, hosts int) {
+	budget.advance(now, hosts)
+	budget.ratio, budget.allowance = ratio, allowance
+	if window != budget.window {
+		budget.window = window
+		budget.period, budget.requests = budget.periodOf(now), [periodsPerWindow]float64{}
+	}
+	budget.tokens = min(budget.tokens, budget.limit(hosts))
+}
+
 // CountRequest records a request, which adds a fraction of a retry to the budget.
 func (budget *Budget) CountRequest(now time.Time, hosts int) {
 	budget.advance(now, hosts)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -110,3 +110,19 @@
 	is.True(budget.Take(now, 1))
 	is.True(budget.Take(now.Add(time.Second), 1))
 }
+
+// Guards against a budget that starts anew with each reload of the settings, so that repeated reloads within a window exceed it.
+func TestChangedBoundsRefillNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	budget := New(now, 0.2, 100, 10*time.Second, 1)
+	taken := 0
+	for reload := range 20 {
+		for budget.Take(now, 1) {
+			taken++
+		}
+		budget.SetBounds(now, 0.2, 100+float64(reload%2), 10*time.Second+time.Duration(reload%2), 1)
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(taken <= 50)
+}
--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -55,7 +55,7 @@
 	return status
 }
 
-// reload applies changed bounds. Retry budgets are reset.
+// reload applies changed bounds.
 func (traffic *Traffic) reload(now time.Time, bounds setup.Bounds) {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
@@ -64,7 +64,9 @@
 	}
 	traffic.bounds = bounds
 	traffic.gate.SetBounds(bounds.ColdOverage, bounds.ColdAllowance)
-	clear(traffic.budgets)
+	for _, budget := range traffic.budgets {
+		budget.SetBounds(now, bounds.RetryRatio, bounds.RetryAllowance, bounds.RetryWindow, traffic.members)
+	}
 	traffic.configureLimits(now, traffic.coordinator.View())
 }
 
