Crash: examine all parts of a prompt that servers get

A part of prompts that stood behind 256 others crashed servers without end; sound requests that ran there were lost.

Cause: the adapter decoded 256 parts of the first header line, while servers get all. Further bounds on the way to a verdict were as small: 2,048 parts of a report and of a crash, 300 of a block, beyond which a verdict was invalid.

Now the limit of a request's head bounds the parts, and each of the other bounds holds such a request. The analysis drops parts at a single crash first. Blocks of many parts are packed, so that rows of the store hold them.

--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -30,15 +32,17 @@
 	// sentSlack is how much later than its crash a request that was in flight there may seem to have been sent: reports of several
 	// hosts take different times. Requests that were sent later, up to AliveSlack, count less: most of them were sent after the crash.
 	sentSlack = 50 * time.Millisecond
-	// maxCrashes bounds the crashes that are kept, and maxCrashParts the parts of all requests of one of them.
-	maxCrashes    = 128
-	maxCrashParts = 2048
-	// maxBlockParts bounds the parts of one block.
-	maxBlockParts = 300
+	// maxCrashes bounds the crashes that are kept, and maxEvidenceParts the parts of all requests of all of them.
+	maxCrashes       = 128
+	maxEvidenceParts = 16 * maxCrashParts
+	// maxCrashParts bounds the parts of all requests of one crash. A request whose head has the usual limit has at most a quarter of them.
+	maxCrashParts = 16384
+	// maxBlockParts bounds the parts of one block: those of a request whose head has the usual limit.
+	maxBlockParts = maxCrashParts / 4
 	// maxSuspects bounds the parts that other hosts are asked about.
 	maxSuspects = 64
 	// maxSightings bounds the parts whose sightings are kept.
-	maxSightings = 8 * maxCrashParts
+	maxSightings = 2 * maxCrashParts
 )
 
 // Request is a request that was in flight when its server crashed.
@@ -60,6 +64,8 @@
 	foundAt  time.Time
 	requests []Request
 	size     int
+	// distinct holds the sorted parts of all requests, or nothing after a change.
+	distinct []Part
 }
 
 // Analyzer finds the parts of requests that crash servers, from the requests that were in flight at each crash. It is not
@@ -130,7 +136,7 @@
 	if len(request.Parts) == 0 {
 		return
 	}
-	known.requests = append(known.requests, request)
+	known.requests, known.distinct = append(known.requests, request), nil
 	known.size += len(request.Parts)
 	for known.size > maxCrashParts {
 		largest := 0
@@ -157,20 +163,28 @@
 	return fmt.Sprintf("%s@%d", server, at.UnixNano())
 }
 
-// prune drops crashes that no longer count, and the oldest one if there are too many.
+// prune drops crashes that no longer count, and the oldest ones while there are too many or their requests have too many parts.
 func (analyzer *Analyzer) prune(now time.Time) {
-	oldest := ""
+	size := 0
+	keys := make([]string, 0, len(analyzer.crashes))
 	for key, known := range analyzer.crashes {
 		if now.Sub(known.at) >= evidenceTime {
 			delete(analyzer.crashes, key)
 			continue
 		}
-		if oldest == "" || known.at.Before(analyzer.crashes[oldest].at) {
-			oldest = key
-		}
+		size += known.size
+		keys = append(keys, key)
 	}
-	if len(analyzer.crashes) >= maxCrashes {
-		delete(analyzer.crashes, oldest)
+	if len(keys) < maxCrashes && size <= maxEvidenceParts {
+		return
+	}
+	slices.SortFunc(keys, func(left, right string) int { return analyzer.crashes[left].at.Compare(analyzer.crashes[right].at) })
+	for _, key := range keys {
+		if len(analyzer.crashes) < maxCrashes && size <= maxEvidenceParts {
+			break
+		}
+		size -= analyzer.crashes[key].size
+		delete(analyzer.crashes, key)
 	}
 }
 
@@ -211,7 +225,7 @@
 		return
 	}
 	requests := known.requests
-	known.requests, known.size = nil, 0
+	known.requests, known.distinct, known.size = nil, nil, 0
 	for _, request := range requests {
 		known.add(Request{Parts: Whole(request.Parts), SentAt: request.SentAt})
 	}
@@ -261,13 +275,15 @@
 	slices.SortFunc(keys, func(left, right string) int {
 		return cmp.Or(analyzer.crashes[left].at.Compare(analyzer.crashes[right].at), cmp.Compare(left, right))
 	})
-	found := map[Part]*suspicion{}
+	found, recurring := map[Part]*suspicion{}, analyzer.recurring(keys)
 	for _, key := range keys {
 		known := analyzer.crashes[key]
 		byPart := map[Part][]Request{}
 		for _, request := range known.requests {
 			for _, part := range request.Parts {
-				byPart[part] = append(byPart[part], request)
+				if _, candidate := recurring[part]; candidate {
+					byPart[part] = append(byPart[part], request)
+				}
 			}
 		}
 		explanations := known.explanations(blocks)
@@ -286,6 +302,34 @@
 	return found
 }
 
+// recurring returns the parts of requests at CrashesToRefuse crashes or more. Most parts of long prompts are at one.
+func (analyzer *Analyzer) recurring(keys []string) map[Part]struct{} {
+	var all []Part
+	for _, key := range keys {
+		all = append(all, analyzer.crashes[key].parts()...)
+	}
+	slices.Sort(all)
+	recurring := map[Part]struct{}{}
+	for index := CrashesToRefuse - 1; index < len(all); index++ {
+		if all[index] == all[index-CrashesToRefuse+1] {
+			recurring[all[index]] = struct{}{}
+		}
+	}
+	return recurring
+}
+
+// parts returns the parts of all requests, without duplicates.
+func (known *evidence) parts() []Part {
+	if known.distinct == nil {
+		for _, request := range known.requests {
+			known.distinct = append(known.distinct, request.Parts...)
+		}
+		slices.Sort(known.distinct)
+		known.distinct = slices.Compact(known.distinct)
+	}
+	return known.distinct
+}
+
 // explanations returns the blocks of which a request was in flight at the crash.
 func (known *evidence) explanations(blocks []Block) []Block {
 	var explanations []Block
@@ -299,7 +343,7 @@
 
 // explainedWithout reports whether a block explains a crash without a part.
 func explainedWithout(explanations []Block, part Part) bool {
-	return slices.ContainsFunc(explanations, func(block Block) bool { return !slices.Contains(block.Core, part) })
+	return slices.ContainsFunc(explanations, func(block Block) bool { return !containsAll(block.Core, []Part{part}) })
 }
 
 // add adds the requests with the part at one crash.
@@ -338,14 +382,14 @@
 // Suspects returns the parts against which there is enough evidence, those that explain the most crashes first, and the
 // server incarnations that crashed, as far as the blocks do not explain it. Other hosts may have seen that they are sound.
 func (analyzer *Analyzer) Suspects(now time.Time, blocks []Block) (parts []Part, incarnations []string) {
-	var proven []*suspicion
-	for _, against := range analyzer.suspicions(now, blocks) {
-		if analyzer.proven(against) && !covered(blocks, analyzer.blockOf(against, nil)) {
-			proven = append(proven, against)
+	cover := analyzer.coverOf(blocks, nil)
+	for _, against := range analyzer.allProven(analyzer.suspicions(now, blocks)) {
+		if len(parts) == maxSuspects {
+			break
+		}
+		if cover(against) {
+			continue
 		}
-	}
-	slices.SortFunc(proven, comparePower)
-	for _, against := range proven[:min(len(proven), maxSuspects)] {
 		parts = append(parts, against.part)
 		for _, key := range against.crashes {
 			if analyzer.crashes[key].known && !slices.Contains(incarnations, key) {
@@ -356,6 +400,18 @@
 	return parts, incarnations
 }
 
+// allProven returns the suspicions with enough evidence for a verdict, those that explain the most crashes first.
+func (analyzer *Analyzer) allProven(suspicions map[Part]*suspicion) []*suspicion {
+	var proven []*suspicion
+	for _, against := range suspicions {
+		if analyzer.proven(against) {
+			proven = append(proven, against)
+		}
+	}
+	slices.SortFunc(proven, comparePower)
+	return proven
+}
+
 // comparePower orders suspicions by the crashes that they explain, the most first, those before which a request was certainly
 // sent before others, and then by the number of requests.
 func comparePower(left, right *suspicion) int {
@@ -373,6 +429,38 @@
 	return slices.ContainsFunc(blocks, func(block Block) bool { return containsAll(further.Parts, block.Parts) })
 }
 
+// coverOf returns a function that reports whether the block of a suspicion would be covered by those in force. Many parts of a long prompt
+// have the same requests, and thus the same block.
+func (analyzer *Analyzer) coverOf(blocks []Block, suspicions map[Part]*suspicion) func(against *suspicion) bool {
+	known := map[uint64]bool{}
+	return func(against *suspicion) bool {
+		if len(blocks) == 0 {
+			return false
+		}
+		key, shared := analyzer.requestsKey(against)
+		if result, found := known[key]; shared && found {
+			return result
+		}
+		result := covered(blocks, analyzer.blockOf(against, suspicions))
+		if shared {
+			known[key] = result
+		}
+		return result
+	}
+}
+
+// requestsKey returns a hash of the requests of a suspicion, and reports whether all suspicions with these requests have the same block. A
+// part that has begun since is in its own block only.
+func (analyzer *Analyzer) requestsKey(against *suspicion) (key uint64, shared bool) {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, request := range against.requests {
+		// Requests of the same crash share no parts in memory.
+		_, _ = fmt.Fprintf(&hash, "%p %d ", &request.Parts[0], len(request.Parts))
+	}
+	return hash.Sum64(), !analyzer.sightings[against.part].BegunAt.After(against.first)
+}
+
 // Decide returns the requests to block, in addition to those of the blocks in force.
 func (analyzer *Analyzer) Decide(now time.Time, blocks []Block) []Block {
 	var added []Block
@@ -390,22 +478,16 @@
 // verdict.
 func (analyzer *Analyzer) next(now time.Time, blocks []Block) (Block, bool) {
 	suspicions := analyzer.suspicions(now.Add(-SettleTime), blocks)
-	var proven []*suspicion
-	for _, against := range suspicions {
-		if analyzer.proven(against) && !covered(blocks, analyzer.blockOf(against, suspicions)) {
-			proven = append(proven, against)
+	var chosen *suspicion
+	cover := analyzer.coverOf(blocks, suspicions)
+	for _, against := range analyzer.allProven(suspicions) {
+		if (chosen == nil || against.narrower(chosen)) && !cover(against) {
+			chosen = against
 		}
 	}
-	if len(proven) == 0 {
+	if chosen == nil {
 		return Block{}, false
 	}
-	slices.SortFunc(proven, comparePower)
-	chosen := proven[0]
-	for _, against := range proven[1:] {
-		if against.narrower(chosen) {
-			chosen = against
-		}
-	}
 	return analyzer.blockOf(chosen, suspicions), true
 }
 
@@ -413,12 +495,13 @@
 func (analyzer *Analyzer) blockOf(against *suspicion, suspicions map[Part]*suspicion) Block {
 	common := slices.Clone(against.requests[0].Parts)
 	for _, request := range against.requests[1:] {
-		common = slices.DeleteFunc(common, func(part Part) bool { return !containsAll(request.Parts, []Part{part}) })
+		common = intersect(common, request.Parts)
 	}
 	common = slices.DeleteFunc(common, func(part Part) bool {
 		return part != against.part && analyzer.sightings[part].BegunAt.After(against.first)
 	})
-	block := Block{Parts: common}
+	block := Block{Parts: narrowed(common, against.part)}
+	common = block.Parts
 	for _, part := range common {
 		other := suspicions[part]
 		if part == against.part || (other != nil && len(other.requests) == len(against.requests)) {
@@ -427,3 +510,13 @@
 	}
 	return block
 }
+
+// narrowed returns at most maxBlockParts of sorted parts, one of which is among them.
+func narrowed(parts []Part, needed Part) []Part {
+	if len(parts) <= maxBlockParts {
+		return parts
+	}
+	index, _ := slices.BinarySearch(parts, needed)
+	first := min(max(0, index-maxBlockParts/2), len(parts)-maxBlockParts)
+	return parts[first : first+maxBlockParts]
+}
--- a/core/crash/blocks.go
+++ b/core/crash/blocks.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -43,6 +45,52 @@
 // Refuses reports whether the block refuses a request with the given sorted parts.
 func (block Block) Refuses(parts []Part) bool { return containsAll(parts, block.Parts) }
 
+// maxPlainParts is the number of parts up to which a block is encoded as lists of numbers. Hosts of earlier versions know no other form.
+const maxPlainParts = 300
+
+// plainBlock is a block in its usual encoding.
+type plainBlock Block
+
+// packedBlock is the encoding of a block with many parts, which must fit into a row of the store: eight bytes for each part, and a bit for
+// each that says whether it belongs to the core.
+type packedBlock struct {
+	plainBlock
+	Packed     []byte `json:"packed,omitempty"`
+	PackedCore []byte `json:"packed_core,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (block Block) MarshalJSON() ([]byte, error) {
+	if len(block.Parts) <= maxPlainParts {
+		return json.Marshal(plainBlock(block))
+	}
+	packed := packedBlock{PackedCore: make([]byte, (len(block.Parts)+7)/8)}
+	for index, part := range block.Parts {
+		packed.Packed = binary.LittleEndian.AppendUint64(packed.Packed, uint64(part))
+		if containsAll(block.Core, []Part{part}) {
+			packed.PackedCore[index/8] |= 1 << (index % 8)
+		}
+	}
+	return json.Marshal(packed)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (block *Block) UnmarshalJSON(encoded []byte) error {
+	var packed packedBlock
+	if err := json.Unmarshal(encoded, &packed); err != nil {
+		return err
+	}
+	*block = Block(packed.plainBlock)
+	for index := 0; index < len(packed.Packed)/8 && index/8 < len(packed.PackedCore); index++ {
+		part := Part(binary.LittleEndian.Uint64(packed.Packed[8*index:]))
+		block.Parts = append(block.Parts, part)
+		if packed.PackedCore[index/8]&(1<<(index%8)) != 0 {
+			block.Core = append(block.Core, part)
+		}
+	}
+	return nil
+}
+
 // Name returns a short text that identifies the parts of a block, for the name of a row.
 func (block Block) Name() string { return strconv.FormatUint(xxhash.Sum64String(block.Key()), 16) }
 
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// intersect removes from sorted parts those that others, sorted too, lack.
+func intersect(parts, others []Part) []Part {
+	index := 0
+	return slices.DeleteFunc(parts, func(part Part) bool {
+		for index < len(others) && others[index] < part {
+			index++
+		}
+		return index == len(others) || others[index] != part
+	})
+}
+
 // Sighting holds the latest times at which requests with a part turned out not to crash their servers. Zero means never.
 type Sighting struct {
 	// BegunAt is when a server sent the first event of such a request, and SurvivedAt when one ended well. A request may crash
--- a/io/block/block.go
+++ b/io/block/block.go
@@ -46,9 +46,9 @@
 	// reportRate is the number of reports a second, and reportBurst the number at once, that a host sends to each analyst.
 	reportRate  = 2
 	reportBurst = 20
-	// maxReportRequests and maxReportParts bound one report.
+	// maxReportRequests and maxReportParts bound one report. A request whose head has the usual limit has at most a quarter of the parts.
 	maxReportRequests = 64
-	maxReportParts    = 2048
+	maxReportParts    = 16384
 	// callTimeout bounds a call to another host. A report is sent up to reportTries times, reportRetryDelay apart, so that
 	// it outlasts a short interruption of the link.
 	callTimeout      = 400 * time.Millisecond
--- a/io/block/block_test.go
+++ b/io/block/block_test.go
@@ -192,7 +192,7 @@
 	const (
 		hosts = 6
 		// invented is the number of parts of a request, which with its digest fill reports exactly.
-		invented = 127
+		invented = 255
 	)
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/io/block/report.go
+++ b/io/block/report.go
@@ -52,6 +52,7 @@
 	indexes := map[crash.Part]int{}
 	for _, run := range report.runs {
 		if len(indexes)+len(run.Parts) > maxReportParts {
+			exchanger.metrics.Counter("crash_suspects_dropped").Inc(1)
 			continue
 		}
 		request := RequestParams{SentAgeMS: ageOf(now, run.SentAt)}
--- a/io/gate/parts.go
+++ b/io/gate/parts.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// maxPromptParts bounds the parts of a prompt that are compared with those of other requests.
-	maxPromptParts = 256
+	// maxPromptParts bounds the parts of a prompt that are compared with those of other requests. It is a quarter of what a report on a
+	// crash holds.
+	maxPromptParts = 4096
 	// paragraphSeparator separates the parts of a prompt that is a single text.
 	paragraphSeparator = "\n\n"
 )
