Serve: no final refusal by an outdated configuration

A host now refuses with 404 or 401 only if its configuration is known to be the newest one as of config_apply_ms before the request. Otherwise it answers 503 with Retry-After: the request has not run. The time of the proof is published after the configuration that it holds for, no longer before.

Why hosts learn late is not part of this change.

--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -26,6 +26,8 @@
 	DefaultRetryWindow    = 10 * time.Second
 	// DefaultLeaseGap is the minimum time between the orders of two consecutive lease holders to one server.
 	DefaultLeaseGap = 3 * time.Second
+	// DefaultConfigApply is the time within which a change of the configuration has to be in force.
+	DefaultConfigApply = 2 * time.Second
 	// DefaultStopGrace is the time from the stop signal until the process must have ended.
 	DefaultStopGrace = 8 * time.Second
 )
@@ -77,6 +79,17 @@
 	// tolerates times ColdOverage, plus ColdAllowance. They may be empty; ColdOverage 0 counts as 1.
 	ColdOverage   float64 `ini:"cold_overage,optional"`
 	ColdAllowance float64 `ini:"cold_allowance,optional"`
+	// ConfigApplyMS is the time in milliseconds within which a change of the configuration has to be in force on all hosts; 0 or nothing
+	// stands for DefaultConfigApply.
+	ConfigApplyMS float64 `ini:"config_apply_ms,optional"`
+}
+
+// ConfigApply returns the time within which a change of the configuration has to be in force on all hosts.
+func (bounds Bounds) ConfigApply() time.Duration {
+	if bounds.ConfigApplyMS <= 0 {
+		return DefaultConfigApply
+	}
+	return time.Duration(bounds.ConfigApplyMS * float64(time.Millisecond))
 }
 
 // Admission holds how the deployment admits requests and chooses servers.
@@ -266,6 +279,7 @@
 		{"quota_allowance", bounds.QuotaAllowance},
 		{"cold_overage", bounds.ColdOverage},
 		{"cold_allowance", bounds.ColdAllowance},
+		{"config_apply_ms", bounds.ConfigApplyMS},
 	} {
 		if entry.number < 0 {
 			parser.report(section, entry.key, entry.key+" must not be negative")
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -223,6 +223,16 @@
 	}
 }
 
+// ProvenView returns the host's current view of the deployment, and the time as of which its configuration is known to be the newest one.
+func (coordinator *Coordinator) ProvenView() (*spec.View, time.Time) {
+	// A later view contains at least what the earlier one does.
+	provenAt := time.Unix(0, coordinator.operatorsProvenAt.Load())
+	return coordinator.view.Load(), provenAt
+}
+
+// ConfigApply returns the time within which a change of the configuration has to be in force.
+func (coordinator *Coordinator) ConfigApply() time.Duration { return coordinator.traffic.configApply() }
+
 // View returns the host's current view of the deployment.
 func (coordinator *Coordinator) View() *spec.View { return coordinator.view.Load() }
 
--- a/io/coord/follow.go
+++ b/io/coord/follow.go
@@ -294,8 +294,6 @@
 	control.recordResponse(now, provenAt)
 	if provenAt.After(table.provenAt) {
 		table.provenAt, table.asks = provenAt, 0
-		control.coordinator.operatorsProvenAt.Store(control.operators.provenAt.UnixNano())
-		control.coordinator.serversProvenAt.Store(control.servers.provenAt.UnixNano())
 		control.coordinator.traffic.proveHosts(control.fleet.provenAt)
 	}
 	switch {
@@ -306,6 +304,9 @@
 	case changed || (table == control.servers && len(control.lapsedUntil) > 0):
 		control.publish(now)
 	}
+	// A proof holds for the view once that contains what was proven.
+	control.coordinator.operatorsProvenAt.Store(control.operators.provenAt.UnixNano())
+	control.coordinator.serversProvenAt.Store(control.servers.provenAt.UnixNano())
 }
 
 // tables returns the mirrors of all tables.
--- a/io/coord/limits.go
+++ b/io/coord/limits.go
@@ -70,6 +70,12 @@
 	traffic.configureLimits(now, traffic.coordinator.View())
 }
 
+func (traffic *Traffic) configApply() time.Duration {
+	traffic.mutex.Lock()
+	defer traffic.mutex.Unlock()
+	return traffic.bounds.ConfigApply()
+}
+
 func (traffic *Traffic) hostCount() int {
 	traffic.mutex.Lock()
 	defer traffic.mutex.Unlock()
--- a/io/serve/explain.go
+++ b/io/serve/explain.go
@@ -8,7 +8,6 @@
 	"lentilproxy/core/refuse"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/value"
-	"lentilproxy/io/clock"
 	"lentilproxy/io/front"
 )
 
@@ -62,16 +61,17 @@
 
 // Explain tells where a request would go now. It uses the code that serves requests, and changes nothing.
 func (service *Service) Explain(question Question) Explanation {
-	now, view := clock.Now(), service.coordinator.View()
+	call := &call{
+		service: service, avoid: value.NewSet[string](), full: value.NewSet[string](),
+		exchange: front.NewExchange(question.Method, question.Host, question.Target, question.Header, question.Body), assumedWorkspace: question.Workspace,
+	}
+	call.receive()
+	now, view := call.receivedAt, call.view
 	operators, servers := service.coordinator.Ages(now)
 	explanation := Explanation{
 		Config: view.Config.Version(), OperatorsAgeMS: operators.Milliseconds(), ServersAgeMS: servers.Milliseconds(),
 		Explanation: sched.Explanation{Servers: []sched.Explained{}},
 	}
-	call := &call{
-		service: service, view: view, receivedAt: now, avoid: value.NewSet[string](), full: value.NewSet[string](),
-		exchange: front.NewExchange(question.Method, question.Host, question.Target, question.Header, question.Body), assumedWorkspace: question.Workspace,
-	}
 	if refusal := call.explain(now, &explanation); refusal != nil {
 		explanation.Refusal = &ExplainedRefusal{
 			Status: refusal.Status(), Code: refusal.Code(), Message: refusal.Message(), RetryAfterMS: refusal.RetryAfter().Milliseconds(),
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -83,10 +83,12 @@
 
 // call is the state of one caller's request.
 type call struct {
-	service    *Service
-	exchange   *front.Exchange
-	ctx        context.Context
-	view       *spec.View
+	service  *Service
+	exchange *front.Exchange
+	ctx      context.Context
+	view     *spec.View
+	// provenAt is the time as of which the configuration of the first view was known to be the newest one.
+	provenAt   time.Time
 	receivedAt time.Time
 	info       lentilproxy.RequestInfo
 	route      *spec.Route
@@ -146,16 +148,18 @@
 
 // Check implements front.Check. It reports whether the head of a request names a route that its caller may use.
 func (service *Service) Check(exchange *front.Exchange) (accepted, known bool) {
-	call := &call{service: service, exchange: exchange, view: service.coordinator.View(), receivedAt: clock.Now()}
+	call := &call{service: service, exchange: exchange}
+	call.receive()
 	return call.identify() == nil, call.workspace.Name != ""
 }
 
 // Handle implements front.Handler.
 func (service *Service) Handle(ctx context.Context, exchange *front.Exchange) {
 	call := &call{
-		service: service, exchange: exchange, view: service.coordinator.View(), receivedAt: clock.Now(),
+		service: service, exchange: exchange,
 		avoid: value.NewSet[string](), full: value.NewSet[string](), late: map[string]coord.LoadResult{}, slow: value.NewSet[string](),
 	}
+	call.receive()
 	refusal := call.admit(ctx)
 	if refusal == nil {
 		limited, cancel := context.WithTimeout(ctx, call.deadline.Sub(clock.Now()))
@@ -166,6 +170,21 @@
 	call.finish(refusal)
 }
 
+// receive takes the configuration by which the request is handled.
+func (call *call) receive() {
+	call.view, call.provenAt = call.service.coordinator.ProvenView()
+	call.receivedAt = clock.Now()
+}
+
+// disallowed returns the refusal of a request that the configuration does not allow. If a newer one that does may have to be in force by
+// now, the caller is told to come back instead: a host that is overloaded may learn of it late.
+func (call *call) disallowed(status int, code refuse.Code, message string) *refuse.Refusal {
+	if call.receivedAt.Sub(call.provenAt) > call.service.coordinator.ConfigApply() {
+		return refuse.NotRun(http.StatusServiceUnavailable, refuse.CodeStale, "this host may not have the newest configuration").WithRetryAfter(configRetryAfter)
+	}
+	return refuse.NotRun(status, code, message)
+}
+
 // identify finds out from its head which route the request is for, and whether its caller may use the route.
 func (call *call) identify() *refuse.Refusal {
 	info, err := call.service.dialect.DecodeRequest(call.exchange.Header())
@@ -182,7 +201,7 @@
 	}
 	call.route = call.view.Config.Match(call.exchange.Host(), path)
 	if call.route == nil {
-		return refuse.NotRun(http.StatusNotFound, refuse.CodeUnknownRoute, "no route matches the host and path")
+		return call.disallowed(http.StatusNotFound, refuse.CodeUnknownRoute, "no route matches the host and path")
 	}
 	call.deadline = call.receivedAt.Add(call.route.Timeout)
 	if info.Timeout > 0 && info.Timeout < call.route.Timeout {
@@ -265,9 +284,9 @@
 		call.workspace = workspace
 		return nil
 	case call.info.Key == "":
-		return refuse.NotRun(http.StatusUnauthorized, refuse.CodeKeyMissing, "a key is required")
+		return call.disallowed(http.StatusUnauthorized, refuse.CodeKeyMissing, "a key is required")
 	default:
-		return refuse.NotRun(http.StatusUnauthorized, refuse.CodeKeyUnknown, "the key is not known")
+		return call.disallowed(http.StatusUnauthorized, refuse.CodeKeyUnknown, "the key is not known")
 	}
 }
 
