Block: one analysis covers many reports of crashes

Cause: an analyst analysed each report together with all earlier ones. 85 hosts report on 19 servers in 1,615 reports, which took 1.5 s of processor time here, and ten times as long on a host with a seventh of a core.

An analysis now follows the first of several reports after ten times the time that the last one took, 10 to 500 ms.

--- a/io/block/block.go
+++ b/io/block/block.go
@@ -72,6 +72,11 @@
 	// get them at their start: the analysts and those that replace them first.
 	maxHeldReports = 16
 	reportHolders  = 2 * analystCount
+	// An analysis of reports follows the first of them after a wait: analysisFactor times as long as the last one took, so that analyses take a
+	// small part of a host's time, but minAnalysisWait at least and maxAnalysisWait at most.
+	analysisFactor  = 10
+	minAnalysisWait = 10 * time.Millisecond
+	maxAnalysisWait = 500 * time.Millisecond
 	// minQueryInterval is the least time between two rounds of questions to all hosts.
 	minQueryInterval = 500 * time.Millisecond
 	// minSuspendInterval is the least time between two rounds of calls that suspend requests.
@@ -155,9 +160,12 @@
 	silenced *value.Recent[crash.Part, silence]
 	limiter  *rate.Limiter
 	// checkAt is when the evidence is next analysed, or zero, and checking reports whether it is being analysed.
-	checkAt   time.Time
-	checking  bool
-	queriedAt time.Time
+	checkAt  time.Time
+	checking bool
+	// analysisDue is set while an analysis of the reports is scheduled, and analysisWait is how long after the first of them.
+	analysisDue  bool
+	analysisWait time.Duration
+	queriedAt    time.Time
 	// reports holds the last reports of crashes, of all hosts.
 	reports []heldReport
 	// suspended holds the suspended requests that other hosts have not been told of, and telling reports whether they are
@@ -211,7 +219,7 @@
 		probe:   func(context.Context, string) bool { return false },
 		stopped: make(chan struct{}), history: crash.NewHistory(), analyzer: crash.NewAnalyzer(), list: crash.NewBlocklist(), pending: map[string]*pendingReport{},
 		watches: map[string]*watch{}, flights: map[string]map[*Run]struct{}{}, silenced: value.NewRecent[crash.Part, silence](maxSilenced),
-		limiter: rate.NewLimiter(reportRate, reportBurst),
+		limiter: rate.NewLimiter(reportRate, reportBurst), analysisWait: minAnalysisWait,
 	}
 	for _, option := range options {
 		option(exchanger)
--- a/io/block/report.go
+++ b/io/block/report.go
@@ -203,7 +203,7 @@
 	exchanger.reports = slices.Clone(exchanger.reports[max(0, len(exchanger.reports)-maxHeldReports):])
 }
 
-// record applies a report, and schedules an analysis if it gives reason for a verdict. The mutex must be held.
+// record applies a report, and schedules an analysis. The mutex must be held.
 func (exchanger *Exchanger) record(now time.Time, params ReportParams, requests []crash.Request) {
 	exchanger.hold(now, params)
 	for index, part := range params.Parts {
@@ -219,8 +219,23 @@
 		recordCrash = exchanger.analyzer.RecordInferred
 	}
 	recordCrash(now, timeOf(now, max(0, params.AgeMS)), params.Server, params.Incarnation, requests)
+	if !exchanger.analysisDue {
+		exchanger.analysisDue = true
+		exchanger.spawn(exchanger.analysisWait, exchanger.analyse)
+	}
+}
+
+// analyse finds out whether the reports give reason to suspend requests, or for a verdict. Its cost grows with the evidence, while many
+// hosts report when many servers crash: one analysis covers all reports that arrive in the meantime.
+func (exchanger *Exchanger) analyse() {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	now := exchanger.clock()
+	exchanger.analysisDue = false
+	exchanger.metrics.Counter("crash_analyses").Inc(1)
 	exchanger.suspend(now)
 	if suspects, _ := exchanger.analyzer.Suspects(now, exchanger.list.All(now)); len(suspects) > 0 {
 		exchanger.scheduleCheck(now)
 	}
+	exchanger.analysisWait = min(max(analysisFactor*exchanger.clock().Sub(now), minAnalysisWait), maxAnalysisWait)
 }
