Link: a reset is not the end of a response

A server that responded to a long request at once, without a length, and reset the connection while the request was being written: its caller got the part of the body as a whole response.

Cause: the kernel reports a reset once. If it makes the write fail, the next read finds the end of the connection, with which such a body ends.

At the end of such a body, the pool now waits for the write, and the response counts as broken off if that has failed. The connections of the own interface do the same.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -42,12 +42,22 @@
 	fresh     func(now time.Time) bool
 	receipt   receipt
 	closeOnce sync.Once
+	// writing is held during a write, and writeErr is the error of the last one.
+	writing  sync.Mutex
+	writeErr error
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A reset is reported once: if it makes a write fail, the connection seems to end as if the server had closed it.
 func (conn *checkedConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	conn.receipt.record(buffer[:count])
+	if errors.Is(err, io.EOF) {
+		conn.writing.Lock()
+		defer conn.writing.Unlock()
+		if conn.writeErr != nil {
+			err = errors.Join(io.ErrUnexpectedEOF, conn.writeErr)
+		}
+	}
 	return count, err
 }
 
@@ -70,7 +80,11 @@
 	if !conn.fresh(time.Now()) {
 		return 0, errStale
 	}
-	return conn.Conn.Write(content)
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	count, err := conn.Conn.Write(content)
+	conn.writeErr = err
+	return count, err
 }
 
 func checkedDial(fresh func(now time.Time) bool) func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -236,6 +236,46 @@
 	}
 }
 
+// Guards against a part of a response that counts as whole: the server responds to a long request at once, without a length, sends a part
+// of the body, and resets the connection while the request is still being written. The reset may be reported to the writer only.
+func TestResetWhileTheRequestIsWritten(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = conn.Read(make([]byte, 4<<10))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the body")
+				time.Sleep(5 * time.Millisecond)
+				if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+					_ = tcp.SetLinger(0)
+				}
+				_ = conn.Close()
+			}()
+		}
+	}()
+	client := engine.NewHTTPClient(checkedDial(func(time.Time) bool { return true }))
+	whole := 0
+	for range 200 {
+		call := &call{request: httptest.NewRequest(http.MethodPost, "/", http.NoBody)}
+		result := call.send(t.Context(), client, "http://"+listener.Addr().String()+"/", make([]byte, 8<<20))
+		if result.err != nil {
+			continue
+		}
+		if _, err = io.ReadAll(result.response.Body); err == nil {
+			whole++
+		}
+		_ = result.response.Body.Close()
+	}
+	is.Equal(whole, 0)
+}
+
 // Any body that a caller sends is either decoded or refused with a code.
 func FuzzCallerBody(f *testing.F) {
 	f.Add([]byte(`{"model":"shop/ribs@v2","prompt":"x","stream":true,"max_tokens":3,"priority":"batch"}`))
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -106,8 +106,11 @@
 	detach func() bool
 	// reusable is set if the server keeps the connection open after the response.
 	reusable bool
-	// unsent is set until a request that is written concurrently has been written completely.
-	unsent atomic.Bool
+	// unsent is set until a request that is written concurrently has been written completely. Then written is closed once the writing has
+	// ended, and writeErr is its error.
+	unsent   atomic.Bool
+	written  chan struct{}
+	writeErr error
 	// complete is set once the body has been read to its end.
 	complete bool
 	// second is the response that was found within the body, or nil.
@@ -125,8 +128,10 @@
 		response.unsent.Store(true)
 		// A large body is not copied.
 		content := net.Buffers{head, request.Body}
+		response.written = make(chan struct{})
 		go func() {
-			if _, err := content.WriteTo(response.conn.raw); err == nil {
+			defer close(response.written)
+			if _, response.writeErr = content.WriteTo(response.conn.raw); response.writeErr == nil {
 				response.unsent.Store(false)
 			}
 		}()
@@ -267,7 +272,8 @@
 func (response *Response) Read(buffer []byte) (int, error) {
 	count, err := response.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
-		response.complete = true
+		err = response.checkEnd(err)
+		response.complete = errors.Is(err, io.EOF)
 	}
 	if errors.Is(err, ErrSecondResponse) && !response.conn.surplus {
 		response.conn.surplus = true
@@ -276,6 +282,19 @@
 	return count, err
 }
 
+// checkEnd returns the error at the end of a body. A reset is reported once: if it makes the writing of a long request fail, a body that
+// ends with its connection seems to end there.
+func (response *Response) checkEnd(end error) error {
+	if response.written == nil || !response.EndsWithConnection() {
+		return end
+	}
+	<-response.written
+	if response.writeErr != nil {
+		return errors.Join(io.ErrUnexpectedEOF, response.writeErr)
+	}
+	return end
+}
+
 // Discard reads a short body to its end, so that the connection can be kept.
 func (response *Response) Discard() {
 	_ = response.conn.raw.SetReadDeadline(time.Now().Add(discardTime))
