Link: a status outside of 100 to 599 is none

A response with the status 000 counted as informational, so that what followed it was taken for the response; 600 to 999 were passed on.

Cause: the parser of the standard library accepts any three digits.

Evidence: TestInvalidStatusIsNoResponse failed before, and the statuses 600 and 999 of TestStatusesThatAreNotFinal on the own interface.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -32,7 +32,8 @@
 // connection.
 var errStale = errors.New("this host cannot prove that its configuration is current")
 
-// errNotFinal means that a server has sent an informational status as its last one, such as that of switched protocols.
+// errNotFinal means that a server has sent an informational status as its last one, such as that of switched protocols, or one that the
+// protocol does not have.
 var errNotFinal = errors.New("the backend server sent no final response")
 
 // checkedConn fails writes while the host is stale. Without it, a process that is paused between the check of
@@ -132,7 +133,7 @@
 	}
 	request.Header.Set(HeaderRequestID, call.id)
 	response, err := client.Do(request)
-	if err == nil && response.StatusCode < http.StatusOK {
+	if err == nil && (response.StatusCode < http.StatusOK || !link.ValidStatus(response.StatusCode)) {
 		_ = response.Body.Close()
 		response, err = nil, errNotFinal
 	}
--- a/io/gate/second_response_test.go
+++ b/io/gate/second_response_test.go
@@ -186,7 +186,7 @@
 // follows on its connection for something else, and none below 100 can be passed on.
 func TestStatusesThatAreNotFinal(t *testing.T) {
 	deployment := newDeployment(t, 1)
-	for _, status := range []string{"101", "099", "000"} {
+	for _, status := range []string{"101", "099", "000", "600", "999"} {
 		for _, rest := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
 			for _, route := range []string{"orders", "stock"} {
 				t.Run(fmt.Sprintf("%s, %s, %d bytes", status, route, len(rest)), func(t *testing.T) {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -19,6 +19,13 @@
 	errEncoded  = errors.New("the response has a content encoding")
 	errHeadSize = errors.New("the head of the response is too long")
 	errTwoHeads = errors.New("another response follows in the head of the response")
+	errStatus   = errors.New("the response has an invalid status")
+)
+
+const (
+	// minStatus and maxStatus are the least and the greatest status code of a response.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // unlimited is the limit of a limitedReader that reads to the end of its connection.
@@ -165,6 +172,9 @@
 			// The parser does not tell a head that was cut off from an invalid one.
 			return errors.Join(err, response.conn.source.err)
 		}
+		if !ValidStatus(read.StatusCode) {
+			return errStatus
+		}
 		if read.StatusCode >= http.StatusOK {
 			response.response = read
 			return nil
@@ -172,6 +182,9 @@
 	}
 }
 
+// ValidStatus reports whether a status code is one of the protocol. The parser of the standard library accepts any three digits.
+func ValidStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // skip discards the body of a response to another request.
 func (response *Response) skip() error {
 	if response.response.Close {
