Link: copies of earlier responses do not fill up a body

A server broke off a response with a length and sent the response to an earlier request of the same connection once more: the caller got half of its own response and half of another caller's, as a signed success.

Cause: within a body with a length or chunks, only a response to the same request was recognized. A copy that began in the last bytes of a body was recognized only if its rest had arrived.

Connections now remember the requests that they have carried, and a body that ends with the beginning of a status line waits for what follows.

--- a/io/link/body.go
+++ b/io/link/body.go
@@ -17,6 +17,9 @@
 	// maxSecondHeadBytes bounds the head of a response that is looked for within a body, and maxStatusLineBytes its first line.
 	maxSecondHeadBytes = 8 << 10
 	maxStatusLineBytes = 256
+	// minWaitBytes is the length of the beginning of a status line at the end of a body from which on it is worth a wait for the rest. Many
+	// bodies end with less of it.
+	minWaitBytes = len("HTTP/")
 )
 
 // statusLineForm is the form of the beginning of a status line, with 0 in the place of any digit.
@@ -37,8 +40,9 @@
 	found bool
 	// isResponse reports whether a head is that of a response, and not a part of a body.
 	isResponse func(response *http.Response) bool
-	// following returns what has arrived after the end of a body with a length or chunks; it is nil for other bodies.
-	following func() []byte
+	// following returns what has arrived after the end of a body with a length or chunks, and waits a while for a number of bytes; it is nil
+	// for other bodies.
+	following func(wanted int) []byte
 }
 
 // NewUnframedBody returns a reader of a body that has neither a length nor chunks. It fails with ErrSecondResponse at the beginning of
@@ -49,7 +53,7 @@
 
 // newFramedBody is NewUnframedBody for a body with a length or chunks. The beginning of a head at its end is that of another response
 // only if it goes on in the bytes that follow the body.
-func newFramedBody(source io.Reader, isResponse func(response *http.Response) bool, following func() []byte) io.Reader {
+func newFramedBody(source io.Reader, isResponse func(response *http.Response) bool, following func(wanted int) []byte) io.Reader {
 	return &body{source: source, buffer: make([]byte, readBufferBytes), isResponse: isResponse, following: following}
 }
 
@@ -145,20 +149,37 @@
 	case body.following == nil:
 		body.found = hasHeaders(body.pending)
 	default:
-		following := body.following()
+		body.found = body.goesOn()
+	}
+	if !body.found {
+		body.safe = min(len(body.pending), len(statusLineForm))
+	}
+}
+
+// goesOn reports whether the pending bytes at the end of a body are the beginning of a head that goes on in the bytes that follow the body.
+// A whole body is followed by nothing, or by the beginning of a response.
+func (body *body) goesOn() bool {
+	if !isStatusLine(body.pending) {
+		return false
+	}
+	for following := body.following(0); ; {
 		joined := append(bytes.Clone(body.pending), following...)
 		length, _, possible := headLength(joined)
-		// A whole body is followed by nothing, or by the beginning of a response.
-		possible = possible && isStatusLine(joined) && !isStatusLine(bytes.TrimLeft(following, "\r\n"))
+		possible = possible && isStatusLine(joined) && (len(following) == 0 || !isStatusLine(bytes.TrimLeft(following, "\r\n")))
 		switch {
-		case possible && length > 0:
-			_, body.found = body.parseHead(joined[:length])
-		case possible:
-			body.found = hasHeaders(joined)
+		case !possible:
+			return false
+		case length > 0:
+			_, isResponse := body.parseHead(joined[:length])
+			return isResponse
+		case len(body.pending) < minWaitBytes:
+			return len(following) > 0 && hasHeaders(joined)
 		}
-	}
-	if !body.found {
-		body.safe = min(len(body.pending), len(statusLineForm))
+		more := body.following(len(following) + 1)
+		if len(more) <= len(following) {
+			return len(following) > 0 && hasHeaders(joined)
+		}
+		following = more
 	}
 }
 
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,6 +24,10 @@
 )
 
 const (
+	// maxCarried is the number of requests that a connection remembers, to recognize copies of their responses.
+	maxCarried = 1024
+	// followingTime bounds the wait for what follows a body that ends with the beginning of a head. A copy of a response may arrive in parts.
+	followingTime = 500 * time.Millisecond
 	// minStatus and maxStatus are the least and the greatest status code of a response.
 	minStatus = 100
 	maxStatus = 599
@@ -64,6 +69,8 @@
 	source      *limitedReader
 	reader      *bufio.Reader
 	idleTimeout time.Duration
+	// carried holds the hashes of the IDs of the last requests.
+	carried []uint64
 	// surplus is set once bytes that belong to no request have been found on the connection.
 	surplus bool
 }
@@ -79,6 +86,17 @@
 	return open && !unread
 }
 
+// carry records a request that is sent on the connection.
+func (conn *conn) carry(id string) {
+	conn.carried = append(conn.carried, xxhash.Sum64String(id))
+	conn.carried = conn.carried[max(0, len(conn.carried)-maxCarried):]
+}
+
+// hasCarried reports whether the connection has carried a request.
+func (conn *conn) hasCarried(id string) bool {
+	return slices.Contains(conn.carried, xxhash.Sum64String(id))
+}
+
 // peek reports whether a connection is open, and whether bytes have arrived on it that have not been read.
 func peek(conn net.Conn) (open, unread bool) {
 	socket, isSocket := conn.(syscall.Conn)
@@ -127,6 +145,7 @@
 // exchange writes the request and reads the status line and headers of its response.
 func (response *Response) exchange(request *Request) error {
 	head := encodeHead(request)
+	response.conn.carry(request.ID)
 	if len(head)+len(request.Body) < concurrentWriteBytes {
 		if _, err := response.conn.raw.Write(append(head, request.Body...)); err != nil {
 			return err
@@ -198,7 +217,7 @@
 }
 
 // watchBody makes the reading of a body fail at the beginning of another response. A server may send any one in a body that ends with
-// its connection, and one to the same request after a part of a body with a length or chunks.
+// its connection, and one to the same request or to an earlier one of its connection after a part of a body with a length or chunks.
 func (response *Response) watchBody(request *Request) {
 	if request.Method == http.MethodHead {
 		response.response.Body = http.NoBody
@@ -207,7 +226,7 @@
 	source, ends := response.response.Body, response.EndsWithConnection()
 	isResponse := func(second *http.Response) bool {
 		id := request.ResponseID(second.StatusCode, second.Header)
-		if id == "" || !ends && id != request.ID {
+		if id == "" || !ends && id != request.ID && !response.conn.hasCarried(id) {
 			return false
 		}
 		response.second = second
@@ -220,11 +239,18 @@
 	response.response.Body = io.NopCloser(newFramedBody(source, isResponse, response.conn.arrived))
 }
 
-// arrived returns the bytes that have arrived and not been read, up to the size of the read buffer.
-func (conn *conn) arrived() []byte {
+// arrived returns the bytes that have arrived and not been read, up to the size of the read buffer. It waits for a while until a wanted
+// number of them has arrived.
+func (conn *conn) arrived(wanted int) []byte {
+	wanted = min(wanted, readBufferBytes)
 	if _, unread := peek(conn.raw); unread && conn.reader.Buffered() == 0 {
 		_, _ = conn.reader.Peek(1)
 	}
+	if conn.reader.Buffered() < wanted {
+		_ = conn.raw.SetReadDeadline(time.Now().Add(followingTime))
+		_, _ = conn.reader.Peek(wanted)
+		_ = conn.raw.SetReadDeadline(time.Time{})
+	}
 	content, _ := conn.reader.Peek(conn.reader.Buffered())
 	return content
 }
