Slots: a poll that conflicts needs no report

A server may have another order in progress; the poll is repeated as before.

Functions are split for the linter, without a change of behaviour.

--- a/core/crash/analyzer.go
+++ b/core/crash/analyzer.go
@@ -278,16 +278,8 @@
 	found, recurring := map[Part]*suspicion{}, analyzer.recurring(keys)
 	for _, key := range keys {
 		known := analyzer.crashes[key]
-		byPart := map[Part][]Request{}
-		for _, request := range known.requests {
-			for _, part := range request.Parts {
-				if _, candidate := recurring[part]; candidate {
-					byPart[part] = append(byPart[part], request)
-				}
-			}
-		}
 		explanations := known.explanations(blocks)
-		for part, requests := range byPart {
+		for part, requests := range known.requestsWith(recurring) {
 			if !known.at.After(analyzer.sightings[part].SurvivedAt) || explainedWithout(explanations, part) {
 				continue
 			}
@@ -330,6 +322,19 @@
 	return known.distinct
 }
 
+// requestsWith returns the requests with each of some parts.
+func (known *evidence) requestsWith(parts map[Part]struct{}) map[Part][]Request {
+	requests := map[Part][]Request{}
+	for _, request := range known.requests {
+		for _, part := range request.Parts {
+			if _, wanted := parts[part]; wanted {
+				requests[part] = append(requests[part], request)
+			}
+		}
+	}
+	return requests
+}
+
 // explanations returns the blocks of which a request was in flight at the crash.
 func (known *evidence) explanations(blocks []Block) []Block {
 	var explanations []Block
--- a/core/slots/outcomes.go
+++ b/core/slots/outcomes.go
@@ -19,16 +19,7 @@
 		controller.resyncAt = now.Add(reportInterval)
 		return
 	}
-	loaded := map[string]int64{}
-	controller.hasModel = false
-	for _, model := range report.Models {
-		if controller.model == "" {
-			controller.model = model.Model
-		}
-		if model.Model == controller.model {
-			controller.hasModel, loaded = true, model.Adapters
-		}
-	}
+	loaded := controller.applyModels(report.Models)
 	pending := map[string]bool{}
 	for _, ref := range report.Pending {
 		pending[ref.Adapter] = true
@@ -56,12 +47,31 @@
 	if report.Busy && !controller.hasModel {
 		controller.modelOrderAt = now
 	}
-	controller.sequence, controller.confirmed = report.Sequence, max(controller.confirmed, report.Sequence)
-	if !controller.counted && report.Sequence > 0 {
+	controller.applySequence(now, report.Sequence)
+	controller.synced, controller.hasReport, controller.unreachable = true, true, false
+}
+
+// applySequence records the sequence of a report.
+func (controller *Controller) applySequence(now time.Time, sequence int64) {
+	controller.sequence, controller.confirmed = sequence, max(controller.confirmed, sequence)
+	if !controller.counted && sequence > 0 {
 		// An earlier lease holder may have sent a load after an unload that the server did not count.
-		controller.holdSlot(now, report.Sequence+1)
+		controller.holdSlot(now, sequence+1)
 	}
-	controller.synced, controller.hasReport, controller.unreachable = true, true, false
+}
+
+// applyModels records from a report whether the base model is loaded, and returns its adapters.
+func (controller *Controller) applyModels(models []spec.LoadedModel) (loaded map[string]int64) {
+	controller.hasModel = false
+	for _, model := range models {
+		if controller.model == "" {
+			controller.model = model.Model
+		}
+		if model.Model == controller.model {
+			controller.hasModel, loaded = true, model.Adapters
+		}
+	}
+	return loaded
 }
 
 // ReportFailed records that the server did not send a report, and schedules the next request.
@@ -254,9 +264,9 @@
 func (controller *Controller) applyRepeated(now time.Time, order lentilproxy.Order, outcome lentilproxy.OrderOutcome) bool {
 	controller.unanswered, controller.repeats = nil, 0
 	switch {
-	case outcome == lentilproxy.OrderConflict:
+	case outcome == lentilproxy.OrderConflict && !controller.repeatedOrder:
 		controller.MarkOutcomeUnknown(now)
-		controller.resyncAt, controller.reportFrom = now, controller.sequence+1
+		controller.resyncAt, controller.reportFrom, controller.reportBy = now, controller.sequence+1, now.Add(resyncDelay)
 		return false
 	case outcome == lentilproxy.OrderSatisfied && order.Kind == lentilproxy.Load && !controller.repeatedOrder:
 		// The server has carried an order out, and has counted it unless its last report was outdated.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// maxCarried is the number of requests that a connection remembers, to recognize copies of their responses.
+	// maxCarried is the number of requests that a connection remembers, to recognise copies of their responses.
 	maxCarried = 1024
 	// followingTime bounds the wait for what follows a body that ends with the beginning of a head. A copy of a response may arrive in parts.
 	followingTime = 500 * time.Millisecond
