Coord: the end of a first request may precede it

A dispatcher kept a slot of a plain service until the deadline of a request that its host had given up, so that others waited.

Cause: the end of a request that overtakes it is remembered in the queue of its service, which the first request for the service created. Before that, the end was dropped.

TestEndBeforeTheFirstRequestOfAService failed before.

--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -362,7 +362,12 @@
 	now := clock.Now()
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
-	if queue := dispatchers.queues[params.Service]; queue != nil {
+	queue := dispatchers.queues[params.Service]
+	if _, declared := dispatchers.services[params.Service]; queue == nil && declared {
+		// The end of the first request may arrive before the request.
+		queue = dispatchers.queueFor(now, params.Service, nil)
+	}
+	if queue != nil {
 		queue.apply(now, params.Host, params.Ended, params.Others)
 		queue.settle(now)
 	}
--- a/io/coord/dispatch_test.go
+++ b/io/coord/dispatch_test.go
@@ -176,6 +176,20 @@
 	t.Fatal("the dispatcher keeps a slot for a request that no longer waits")
 }
 
+// Guards against a slot that is kept until the deadline of a request whose end has overtaken it, also if it is the first one for its
+// service.
+func TestEndBeforeTheFirstRequestOfAService(t *testing.T) {
+	is := is.New(t)
+	dispatchers := dispatchHosts(t, 1, nil)[0].traffic.dispatchers
+	dispatchers.handleDone(doneParams{Service: "shop", Host: "host-9", Ended: []endParams{{ID: 7, Outcome: admit.OutcomeUnused}}})
+	got := dispatchers.handleTake(t.Context(), takeParams{Service: "shop", Host: "host-9", ID: 7, Class: "r", DueMS: 300, DeadlineMS: 2000})
+	is.Equal(got.Reason, admit.ReasonWithdrawn)
+	dispatchers.mutex.Lock()
+	defer dispatchers.mutex.Unlock()
+	is.True(dispatchers.queues["shop"].queue.Idle())
+	is.Equal(len(dispatchers.queues), 1)
+}
+
 // Guards against a dispatcher that takes over and assigns slots that are in use: by another dispatcher's assignments, by requests that
 // their host has sent by itself, or by those that only gossip messages tell of.
 func TestDispatcherCountsRequestsThatItHasNotAssigned(t *testing.T) {
