Coord: log and measure what assigned slots are used for

Callers of plain services were refused while their servers were idle, and nothing told whether slots were empty while messages crossed slow hosts, the dispatcher was too slow, or it counted requests that had ended.

Hosts now send the time between a request and its response with its end, and dispatchers log once a second how many slots are assigned or reported, and how long assigned slots are in use. The line about a lost dispatcher tells for how long it was silent.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -137,6 +137,8 @@
 	classes *value.Recent[string, *estimate]
 	// errorRate is the usual share of responses that are errors.
 	errorRate float64
+	// usage is what assignments have used of their slots.
+	usage Usage
 	// order is the order of the waiting requests, and returns knows the refused ones.
 	order   *order.Order
 	returns *order.Returns
@@ -360,7 +362,9 @@
 }
 
 // End records how a request ended, or that its host no longer waits for a server. It reports whether the request was known.
-func (queue *Queue) End(now time.Time, ticket Ticket, outcome Outcome) bool {
+//
+// Served is the time from the sending of the request to the end of its response, as its host measured it; 0 if it is not known.
+func (queue *Queue) End(now time.Time, ticket Ticket, outcome Outcome, served time.Duration) bool {
 	for index, waiting := range queue.waiting {
 		if waiting.request.Ticket == ticket {
 			queue.waiting = append(queue.waiting[:index], queue.waiting[index+1:]...)
@@ -375,6 +379,11 @@
 		return false
 	}
 	queue.drop(ended)
+	if served > 0 {
+		queue.usage.Ended++
+		queue.usage.Assigned += now.Sub(ended.at)
+		queue.usage.Served += min(served, now.Sub(ended.at))
+	}
 	switch outcome {
 	case OutcomeOK:
 		queue.learn(now, ended)
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -141,9 +141,9 @@
 			for _, decision := range queue.Next(now) {
 				counts[decision.Server.ID]++
 				if decision.Server.ID == "bad" {
-					queue.End(now.Add(time.Millisecond), decision.Ticket, outcome)
+					queue.End(now.Add(time.Millisecond), decision.Ticket, outcome, 0)
 				} else {
-					queue.End(now.Add(time.Millisecond), decision.Ticket, OutcomeOK)
+					queue.End(now.Add(time.Millisecond), decision.Ticket, OutcomeOK, 0)
 				}
 			}
 		}
@@ -190,7 +190,7 @@
 	queue.returns.Expect("", "returning", now)
 	for id := lastID; id > 0; id-- { // The first half of those that wait has been served.
 		if ticket := (Ticket{Host: "h", ID: id}); len(queue.waiting) > 20 {
-			queue.End(now, ticket, OutcomeUnused)
+			queue.End(now, ticket, OutcomeUnused, 0)
 		}
 	}
 	for _, refused := add("newcomer"); !refused; _, refused = add("newcomer") {
@@ -274,14 +274,14 @@
 			case 2, 3:
 				if ticket, found := pick(assigned); found {
 					outcome := rapid.SampledFrom([]Outcome{OutcomeOK, OutcomeOK, OutcomeFailed, OutcomeUnreachable, OutcomeRejected, OutcomeUnused}).Draw(t, "outcome")
-					if !queue.End(now, ticket, outcome) {
+					if !queue.End(now, ticket, outcome, 0) {
 						t.Fatal("an assignment is unknown before it ends")
 					}
 					delete(assigned, ticket)
 				}
 			case 4:
 				if ticket, found := pick(waiting); found {
-					queue.End(now, ticket, OutcomeUnused)
+					queue.End(now, ticket, OutcomeUnused, 0)
 					delete(waiting, ticket)
 				}
 			case 5:
@@ -368,7 +368,7 @@
 	queue, now := New(time.Unix(1000, 0)), time.Unix(1000, 0)
 	queue.SetServers([]Server{{ID: "s", Slots: 1}})
 	ticket := Ticket{Host: "host-1", ID: 7}
-	is.True(!queue.End(now, ticket, OutcomeUnused))
+	is.True(!queue.End(now, ticket, OutcomeUnused, 0))
 	refusal, refused := queue.Add(now, Request{Ticket: ticket, Due: now.Add(time.Second), Deadline: now.Add(2 * time.Second)})
 	is.True(refused)
 	is.Equal(refusal.Reason, ReasonWithdrawn)
--- a/core/admit/model_test.go
+++ b/core/admit/model_test.go
@@ -242,7 +242,7 @@
 				ticket, queue := call.ticket, model.queue
 				model.after(model.delay(), func() {
 					if queue == model.queue {
-						queue.End(model.now, ticket, outcome)
+						queue.End(model.now, ticket, outcome, 0)
 						model.settle()
 					}
 				})
--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -65,6 +65,15 @@
 	server      string
 	id          int64
 	once        sync.Once
+	// sentAt is when the request was sent to the server; zero if it was not.
+	sentAt time.Time
+}
+
+// Sent records that the request is sent to the server. The assignment may be nil.
+func (assignment *Assignment) Sent(now time.Time) {
+	if assignment != nil {
+		assignment.sentAt = now
+	}
 }
 
 // Dispatch asks the dispatcher of a plain service for a server. It waits until one is free or the request is refused.
@@ -241,7 +250,11 @@
 		dispatchers := assignment.dispatchers
 		dispatchers.count(assignment.key.service, runningKey{dispatcher: assignment.key.dispatcher, server: assignment.server}, -1)
 		if assignment.key.dispatcher != "" {
-			dispatchers.report(assignment.key, endParams{ID: assignment.id, Outcome: outcome})
+			end := endParams{ID: assignment.id, Outcome: outcome}
+			if !assignment.sentAt.IsZero() {
+				end.ServedMS = clock.Now().Sub(assignment.sentAt).Milliseconds()
+			}
+			dispatchers.report(assignment.key, end)
 		}
 		dispatchers.mutex.Lock()
 		current, used := dispatchers.dispatcherOf(clock.Now(), assignment.key.service)
@@ -436,5 +449,5 @@
 	close(link.lost)
 	dispatchers.rank.avoid(key.dispatcher, clock.Now().Add(dispatcherAvoidance))
 	coordinator.metrics.Counter("dispatchers_unreachable").Inc(1)
-	coordinator.log.Info("dispatcher does not respond", "dispatcher", key.dispatcher, "service", key.service, "waiting", link.pending)
+	coordinator.log.Info("dispatcher does not respond", "dispatcher", key.dispatcher, "service", key.service, "waiting", link.pending, "silent_ms", clock.Now().Sub(link.heardAt).Milliseconds(), "extended", link.extended)
 }
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -72,6 +72,8 @@
 type endParams struct {
 	ID      int64         `json:"id"`
 	Outcome admit.Outcome `json:"outcome"`
+	// ServedMS is the time from the sending of the request to the end of its response.
+	ServedMS int64 `json:"served_ms,omitempty"`
 }
 
 // doneParams reports ended requests. Without any, it only asks whether the dispatcher responds.
@@ -118,6 +120,8 @@
 	// heardAt is when each host last sent a message, and seededAt when gossip messages were last used.
 	heardAt  map[string]time.Time
 	seededAt time.Time
+	// reported is the usage of slots as of the last report.
+	reported admit.Usage
 }
 
 // dispatcherLink is the contact to a dispatcher that requests of this host wait for.
@@ -243,12 +247,15 @@
 	defer dispatchers.mutex.Unlock()
 	next := dispatchReportInterval
 	waiting := map[int]int{}
-	for _, queue := range dispatchers.queues {
+	for name, queue := range dispatchers.queues {
 		queue.settle(now)
 		if at, found := queue.queue.NextEvent(now); found {
 			next = min(next, max(time.Millisecond, at.Sub(now)))
 		}
 		addByPriority(waiting, queue.queue.Waiting())
+		if report {
+			dispatchers.reportUsage(now, name, queue)
+		}
 	}
 	if report {
 		for priority := range maxGaugePriority + 1 {
@@ -258,6 +265,27 @@
 	return next
 }
 
+// reportUsage logs how the slots of a service were used since the last report, if any were. The mutex must be held.
+func (dispatchers *dispatchers) reportUsage(now time.Time, service string, queue *dispatchQueue) {
+	usage := queue.queue.Usage()
+	ended := usage.Ended - queue.reported.Ended
+	if ended == 0 {
+		return
+	}
+	declared, assigned, reported := queue.queue.Slots(now)
+	for state, count := range map[string]int{"declared": declared, "assigned": assigned, "reported": reported} {
+		dispatchers.coordinator.metrics.Tagged(map[string]string{"service": service, "state": state}).Gauge("admission_slots").Update(float64(count))
+	}
+	waiting := 0
+	for _, count := range queue.queue.Waiting() {
+		waiting += count
+	}
+	dispatchers.coordinator.log.Info("slots of a service", "service", service, "slots", declared, "assigned", assigned, "reported", reported,
+		"waiting", waiting, "ended", ended, "assigned_ms", (usage.Assigned-queue.reported.Assigned).Milliseconds()/int64(ended),
+		"served_ms", (usage.Served-queue.reported.Served).Milliseconds()/int64(ended))
+	queue.reported = usage
+}
+
 // queueFor returns the queue of a service, and applies what gossip messages say about hosts that have sent nothing for a while. The
 // mutex must be held.
 func (dispatchers *dispatchers) queueFor(now time.Time, service string, reports map[string]sched.Report) *dispatchQueue {
@@ -299,7 +327,7 @@
 	dispatchQueue.heardAt[host] = now
 	for _, end := range ended {
 		ticket := admit.Ticket{Host: host, ID: end.ID}
-		dispatchQueue.queue.End(now, ticket, end.Outcome)
+		dispatchQueue.queue.End(now, ticket, end.Outcome, time.Duration(end.ServedMS)*time.Millisecond)
 		if decided, found := dispatchQueue.decided[ticket]; found {
 			close(decided)
 			delete(dispatchQueue.decided, ticket)
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -262,6 +262,7 @@
 	ctx, cancel := context.WithCancel(call.ctx)
 	defer cancel()
 	call.sentAt = clock.Now()
+	call.dispatched.assignment.Sent(call.sentAt)
 	call.run = &block.Run{Server: server.ID, Incarnation: block.Incarnation(server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
 	defer call.service.coordinator.Blocks().Sent(call.run)()
 	call.resumed = call.lastEvent != ""
