--- a/core/admit/model_test.go
+++ b/core/admit/model_test.go
@@ -27,6 +27,7 @@
 	pending  map[Ticket]*modelCall
 	// timer is when the queue decides something by itself.
 	timer   time.Time
+	lastID  int64
 	highest int
 }
 
@@ -48,13 +49,15 @@
 }
 
 type modelServer struct {
-	id      string
-	slots   int
-	room    int
-	factor  float64
-	broken  bool
-	running int
-	queued  []func()
+	id     string
+	slots  int
+	room   int
+	factor float64
+	// slowdown is by how much longer requests take while the server's own queue is full.
+	slowdown float64
+	broken   bool
+	running  int
+	queued   []func()
 }
 
 type modelHost struct {
@@ -64,6 +67,8 @@
 	seen    []int
 	zone    int
 	ejected []time.Time
+	// busy is the mean time until the host handles a message.
+	busy time.Duration
 }
 
 type modelCall struct {
@@ -94,7 +99,7 @@
 func newModel(seed int64) *model {
 	model := &model{random: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), pending: map[Ticket]*modelCall{}}
 	for number := range modelServers {
-		model.servers = append(model.servers, &modelServer{id: "s" + strconv.Itoa(number), slots: modelSlots, room: 3, factor: 1})
+		model.servers = append(model.servers, &modelServer{id: "s" + strconv.Itoa(number), slots: modelSlots, room: 3, factor: 1, slowdown: 0.5})
 	}
 	for number := range modelHosts {
 		model.hosts = append(model.hosts, &modelHost{
@@ -137,6 +142,14 @@
 	return 500*time.Microsecond + time.Duration(model.random.Int63n(int64(900*time.Microsecond)))
 }
 
+// handling is the time that a message takes to a host and until the host has handled it.
+func (model *model) handling(host *modelHost) time.Duration {
+	if host.busy == 0 {
+		return model.delay()
+	}
+	return model.delay() + time.Duration(model.random.Int63n(int64(2*host.busy)))
+}
+
 // work draws the duration of a request: a spread of 0.5, and a tail of 1 % that takes five times as long.
 func (model *model) work() time.Duration {
 	spread := 0.5
@@ -181,7 +194,7 @@
 			server.running++
 			model.highest = max(model.highest, server.running)
 			// Servers slow down while requests wait there.
-			slowdown := 1 + 0.5*float64(len(server.queued))/float64(server.room)
+			slowdown := 1 + server.slowdown*float64(len(server.queued))/float64(max(1, server.room))
 			model.after(time.Duration(slowdown*server.factor*float64(model.work())), func() {
 				server.running--
 				if len(server.queued) > 0 {
@@ -212,7 +225,8 @@
 // dispatch asks the queue for a server.
 func (model *model) dispatch(call *modelCall) {
 	call.attempts++
-	call.ticket = Ticket{Host: call.host.id, ID: int64(len(model.calls)*10 + call.attempts)}
+	model.lastID++
+	call.ticket = Ticket{Host: call.host.id, ID: model.lastID}
 	model.pending[call.ticket] = call
 	model.after(model.delay(), func() {
 		refusal, refused := model.queue.Add(model.now, Request{
@@ -237,12 +251,13 @@
 			continue
 		}
 		number := slices.IndexFunc(model.servers, func(server *modelServer) bool { return server.id == decision.Server.ID })
-		model.after(model.delay(), func() {
+		model.after(model.handling(call.host), func() {
+			sentAt := model.now
 			model.send(call, number, func(outcome Outcome) {
-				ticket, queue := call.ticket, model.queue
-				model.after(model.delay(), func() {
+				ticket, queue, served := call.ticket, model.queue, model.now.Sub(sentAt)
+				model.after(model.handling(call.host), func() {
 					if queue == model.queue {
-						queue.End(model.now, ticket, outcome, 0)
+						queue.End(model.now, ticket, outcome, served)
 						model.settle()
 					}
 				})
--- a/io/coord/dispatch_test.go
+++ b/io/coord/dispatch_test.go
@@ -223,6 +223,29 @@
 	is.Equal(hosts[3].Dispatch(t.Context(), demand(20*time.Millisecond)).Outcome, NotAdmitted)
 }
 
+// Guards against slots that stay empty since a dispatcher goes on counting a request that another one has assigned and that has ended: its
+// host did not tell, as it asked the other one at that moment.
+func TestEndsReachAllDispatchersThatCountTheRequest(t *testing.T) {
+	is := is.New(t)
+	hosts := dispatchHosts(t, 2, nil)
+	host := hosts[1].traffic.dispatchers
+	avoidUntil := func(until time.Time) {
+		host.mutex.Lock()
+		defer host.mutex.Unlock()
+		host.rank.avoid(hosts[0].settings.Host.Name, until)
+	}
+	avoidUntil(clock.Now().Add(time.Minute))
+	bySecond := hosts[1].Dispatch(t.Context(), demand(2*time.Second))
+	is.Equal(bySecond.Outcome, Admitted)
+	avoidUntil(clock.Now())
+	byFirst := hosts[1].Dispatch(t.Context(), demand(2*time.Second)) // The first dispatcher learns of both.
+	is.Equal(byFirst.Outcome, Admitted)
+	is.True(byFirst.Dispatcher != bySecond.Dispatcher)
+	avoidUntil(clock.Now().Add(time.Minute))
+	bySecond.Assignment.End(admit.OutcomeOK)
+	is.Equal(hosts[2].Dispatch(t.Context(), demand(time.Second)).Outcome, Admitted)
+}
+
 // Guards against dispatchers in deployments whose hosts know each other's load well enough, or whose servers do not declare their slots.
 func TestDispatcherIsUsedWithManyHostsOnly(t *testing.T) {
 	is := is.New(t)
