Coord: dispatchers are hosts with enough processor time

The dispatcher of a service was the first host by a hash, whatever its size. On a host with a seventh of a core, a slot was assigned for 138 to 530 ms at crests, of which the request was on its server for 65 to 105 ms, and up to 23 hosts gave the dispatcher up at once.

Hosts state their processor in their row, and dispatchers are chosen among those with at least half of the largest one. If none states it, or all are similar, nothing changes.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -57,6 +57,8 @@
 	Name        string `json:"name"`
 	DataCentre  string `json:"data_centre"`
 	PeerAddress string `json:"peer_address"`
+	// Processor is the number of processor cores that the host has; 0 if its settings do not state it.
+	Processor float64 `json:"processor,omitempty"`
 	// RunID identifies one start of the host's process, and HeartbeatSeq counts its renewals.
 	RunID        string `json:"run"`
 	HeartbeatSeq int64  `json:"beat"`
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -40,6 +40,18 @@
 	// descriptors. 0 means that the settings state none.
 	MemoryLimitMB   float64 `ini:"memory_limit_mb,optional"`
 	DescriptorLimit float64 `ini:"descriptor_limit,optional"`
+	// ProcessorShare is the fraction of a processor core that the host has, for each of ProcessorCores. 0 means that the settings state
+	// none; ProcessorCores 0 counts as 1.
+	ProcessorShare float64 `ini:"processor_share,optional"`
+	ProcessorCores float64 `ini:"processor_cores,optional"`
+}
+
+// Processor returns the processor cores that the host has, or 0 if the settings do not state it.
+func (host Host) Processor() float64 {
+	if host.ProcessorCores == 0 {
+		return host.ProcessorShare
+	}
+	return host.ProcessorShare * host.ProcessorCores
 }
 
 // Listen holds the addresses to listen on, as IP:port.
@@ -191,6 +203,8 @@
 		parser.require(section, "data_centre", settings.Host.DataCentre)
 		parser.requireNotNegative(section, "memory_limit_mb", settings.Host.MemoryLimitMB)
 		parser.requireNotNegative(section, "descriptor_limit", settings.Host.DescriptorLimit)
+		parser.requireNotNegative(section, "processor_share", settings.Host.ProcessorShare)
+		parser.requireNotNegative(section, "processor_cores", settings.Host.ProcessorCores)
 	case "listen":
 		parser.decode(section, &settings.Listen)
 		parser.checkListen(section)
--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -106,8 +106,8 @@
 // A platform that states no limits leaves their placeholders empty, which must neither be a fault nor a limit of 0 bytes.
 func TestParseLimitsOfHost(t *testing.T) {
 	for lines, want := range map[string]struct {
-		memory, descriptors float64
-		fault               string
+		memory, descriptors, processor float64
+		fault                          string
 	}{
 		"": {},
 		"memory_limit_mb =\ndescriptor_limit = \n":         {},
@@ -115,6 +115,10 @@
 		"memory_limit_mb = 144.5\n":                        {memory: 144.5},
 		"memory_limit_mb = -1\n":                           {memory: -1, fault: "memory_limit_mb must not be negative"},
 		"descriptor_limit = many\n":                        {fault: `descriptor_limit: "many" is not a number`},
+		"processor_share =\nprocessor_cores = \n":          {},
+		"processor_share = 0.5\n":                          {processor: 0.5},
+		"processor_share = 0.5\nprocessor_cores = 2\n":     {processor: 1},
+		"processor_share = -1\n":                           {processor: -1, fault: "processor_share must not be negative"},
 	} {
 		t.Run(lines, func(t *testing.T) {
 			is := is.New(t)
@@ -122,6 +126,7 @@
 			is.True(strings.Contains(faults, want.fault) && (want.fault != "" || faults == "[]"))
 			is.Equal(settings.Host.MemoryLimitMB, want.memory)
 			is.Equal(settings.Host.DescriptorLimit, want.descriptors)
+			is.Equal(settings.Host.Processor(), want.processor)
 		})
 	}
 }
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -178,6 +178,7 @@
 		fleet: newTableMirror(lease.Table, fleetReadAge, fleetPullInterval, mirror.WithContent(lease.Content)),
 		registry: lease.New(lease.Host{
 			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, PeerAddress: settings.Listen.AdvertisePeers, RunID: coordinator.runID,
+			Processor: settings.Host.Processor(),
 		}, settings.Bounds.LeaseGap),
 		controllers: map[string]*controller{}, peers: map[string]*peerState{}, pendingDemand: map[string]map[string]float64{}, decoded: map[string]decodedServer{}, decodedVersions: map[string]int64{},
 		lapsedUntil: map[string]time.Time{}, evacuations: map[string]string{}, unknownLogged: value.NewSet[string](), membership: limit.NewMembership(settings.Host.Name),
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -184,11 +184,13 @@
 	}
 }
 
-// setHosts replaces the hosts that may be dispatchers, and drops the requests of others. The address of this host is empty.
-func (dispatchers *dispatchers) setHosts(now time.Time, hosts map[string]string) {
+// setHosts replaces the hosts that may be dispatchers, with the processor cores that they state, and drops the requests of others. The
+// address of this host is empty.
+func (dispatchers *dispatchers) setHosts(now time.Time, hosts map[string]string, processors map[string]float64) {
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
 	dispatchers.rank.setHosts(hosts)
+	dispatchers.rank.setProcessors(processors)
 	names := value.Set[string]{}
 	for name := range hosts {
 		names.Add(name)
--- a/io/coord/dispatch_test.go
+++ b/io/coord/dispatch_test.go
@@ -70,7 +70,7 @@
 				known[other.settings.Host.Name] = ""
 			}
 		}
-		host.traffic.dispatchers.setHosts(clock.Now(), known)
+		host.traffic.dispatchers.setHosts(clock.Now(), known, nil)
 	}
 }
 
--- a/io/coord/rank.go
+++ b/io/coord/rank.go
@@ -2,17 +2,23 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"lentilproxy/core/lease"
 	"lentilproxy/core/value"
 )
 
+// minProcessorFraction is the least fraction of the largest host's processor that a host needs for work that one host does for all.
+const minProcessorFraction = 0.5
+
 // hostRank chooses one host for each key by rendezvous hashing. Hosts that do not respond are passed over for a while. It is not safe
 // for concurrent use.
 type hostRank struct {
 	// hosts maps the hosts to their addresses; that of this host is empty.
 	hosts map[string]string
+	// processors maps hosts to the processor cores that they state. If any are stated, only the larger hosts are chosen.
+	processors map[string]float64
 	// preferred caches the host of each key.
 	preferred map[string]string
 	// avoidedUntil maps hosts that did not respond to the time until which they are not chosen.
@@ -32,6 +38,27 @@
 	clear(hostRank.preferred)
 }
 
+// setProcessors replaces the processor cores that hosts state.
+func (hostRank *hostRank) setProcessors(processors map[string]float64) {
+	if maps.Equal(processors, hostRank.processors) {
+		return
+	}
+	hostRank.processors = processors
+	clear(hostRank.preferred)
+}
+
+// candidates returns the hosts that may be chosen: those that are not passed over, and are not much smaller than the largest of these.
+func (hostRank *hostRank) candidates() []string {
+	responding, largest := make([]string, 0, len(hostRank.hosts)), 0.0
+	for _, host := range value.Sorted(hostRank.hosts) {
+		if _, avoided := hostRank.avoidedUntil[host]; !avoided {
+			responding = append(responding, host)
+			largest = max(largest, hostRank.processors[host])
+		}
+	}
+	return slices.DeleteFunc(responding, func(host string) bool { return hostRank.processors[host] < minProcessorFraction*largest })
+}
+
 // hostFor returns the host for a key, and its address. The address is empty for this host, and found is false if there is no host.
 func (hostRank *hostRank) hostFor(now time.Time, key string) (name, address string, found bool) {
 	for host, until := range hostRank.avoidedUntil {
@@ -42,13 +69,7 @@
 	}
 	name, known := hostRank.preferred[key]
 	if !known {
-		candidates := make([]string, 0, len(hostRank.hosts))
-		for _, host := range value.Sorted(hostRank.hosts) {
-			if _, avoided := hostRank.avoidedUntil[host]; !avoided {
-				candidates = append(candidates, host)
-			}
-		}
-		name = lease.Preferred(key, candidates)
+		name = lease.Preferred(key, hostRank.candidates())
 		hostRank.preferred[key] = name
 	}
 	address, found = hostRank.hosts[name]
--- a/io/coord/traffic.go
+++ b/io/coord/traffic.go
@@ -112,12 +112,15 @@
 	defer traffic.mutex.Unlock()
 	self := traffic.coordinator.settings.Host.Name
 	known := lenders{addresses: map[string]string{}}
+	processors := map[string]float64{}
 	for _, host := range registry.Hosts() {
+		processors[host.Name] = host.Processor
 		known.names = append(known.names, host.Name)
 		if _, found := peers[host.Name]; found {
 			known.addresses[host.Name] = host.PeerAddress
 		}
 	}
+	processors[self] = traffic.coordinator.settings.Host.Processor()
 	traffic.lenders = known
 	traffic.gate.SetHosts(now, known.names)
 	pacerHosts := map[string]string{self: ""}
@@ -125,7 +128,7 @@
 		pacerHosts[name] = address
 	}
 	traffic.pacers.setHosts(pacerHosts)
-	traffic.dispatchers.setHosts(now, pacerHosts)
+	traffic.dispatchers.setHosts(now, pacerHosts, processors)
 	traffic.scheduler.RetainPeers(now, value.NewSet(known.names...))
 	clear(traffic.holders)
 	for name := range traffic.coordinator.View().Servers {
