Coord: report ends to each dispatcher that counts the request

Callers of plain services were refused while slots were empty: dispatchers counted up to 109 requests of others on 42 slots. A host that has given up a dispatcher tells the next one of the requests that the first has assigned, and later the other way round. It reported their ends only to the dispatcher that it asked at that moment, so that the count of the other one stayed for 2.5 s, forty times as long as a request.

A host now remembers which dispatchers it has told of such requests, and reports the ends to all of them. TestEndsReachAllDispatchersThatCountTheRequest failed before.

--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -256,16 +256,25 @@
 			}
 			dispatchers.report(assignment.key, end)
 		}
-		dispatchers.mutex.Lock()
-		current, used := dispatchers.dispatcherOf(clock.Now(), assignment.key.service)
-		dispatchers.mutex.Unlock()
-		if used && current != assignment.key {
-			// The current dispatcher counts the request among those that it has not assigned.
-			dispatchers.report(current)
+		for _, key := range dispatchers.toldOthers(assignment.key) {
+			dispatchers.report(key)
 		}
 	})
 }
 
+// toldOthers returns the other dispatchers of a service that count requests of this host which they have not assigned.
+func (dispatchers *dispatchers) toldOthers(assigned outboxKey) []outboxKey {
+	dispatchers.mutex.Lock()
+	defer dispatchers.mutex.Unlock()
+	var told []outboxKey
+	for key := range dispatchers.told {
+		if key.service == assigned.service && key != assigned {
+			told = append(told, key)
+		}
+	}
+	return told
+}
+
 // count changes the number of this host's running requests.
 func (dispatchers *dispatchers) count(service string, key runningKey, change int) {
 	dispatchers.mutex.Lock()
@@ -283,7 +292,8 @@
 	}
 }
 
-// others returns the running requests of this host that a dispatcher has not assigned, by server. The mutex must be held.
+// others returns the running requests of this host that a dispatcher has not assigned, by server, to be sent to that dispatcher. The mutex
+// must be held.
 func (dispatchers *dispatchers) others(key outboxKey) map[string]int {
 	var others map[string]int
 	for running, count := range dispatchers.running[key.service] {
@@ -295,6 +305,11 @@
 		}
 		others[running.server] += count
 	}
+	if others == nil {
+		delete(dispatchers.told, key)
+	} else {
+		dispatchers.told.Add(key)
+	}
 	return others
 }
 
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -104,8 +105,10 @@
 	// running counts this host's requests by service, and then by dispatcher and server. The dispatcher is empty for requests that
 	// this host has sent without one.
 	running map[string]map[runningKey]int
-	lastID  int64
-	waits   tally.Histogram
+	// told holds the dispatchers that count requests of this host which they have not assigned. They have to learn of the ends.
+	told   value.Set[outboxKey]
+	lastID int64
+	waits  tally.Histogram
 }
 
 type runningKey struct {
@@ -151,7 +154,7 @@
 	return &dispatchers{
 		coordinator: coordinator, reports: reports, wake: make(chan struct{}, 1), rank: newHostRank(), services: map[string][]admit.Server{},
 		queues: map[string]*dispatchQueue{}, links: map[string]*dispatcherLink{}, outboxes: map[outboxKey]*outbox{},
-		running: map[string]map[runningKey]int{},
+		running: map[string]map[runningKey]int{}, told: value.Set[outboxKey]{},
 		// A ticket of an earlier start of this host must not be taken for a newer one.
 		lastID: clock.Now().UnixNano(),
 		waits:  coordinator.metrics.Histogram("admission_wait", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
@@ -191,6 +194,7 @@
 	defer dispatchers.mutex.Unlock()
 	dispatchers.rank.setHosts(hosts)
 	dispatchers.rank.setProcessors(processors)
+	maps.DeleteFunc(dispatchers.told, func(key outboxKey, _ struct{}) bool { return hosts[key.dispatcher] != key.address })
 	names := value.Set[string]{}
 	for name := range hosts {
 		names.Add(name)
