Coord: learn for how long a dispatcher may be silent

Each time, several dispatchers assigned the same slots for 2 s.

The silence allowed was fixed, and hosts or dispatchers that run out of processor time for a moment exceed it. It now follows the times that the dispatcher's responses take (RFC 6298), between 100 and 300 ms, and grows when a dispatcher is given up. Probes are sent after 0.4 of it, so that they do not add to the load of a slow dispatcher. TestSlowDispatcherIsGivenMoreTime failed before (3 of 3 runs).

--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilproxy/core/admit"
+	"lentilproxy/core/reply"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -185,7 +186,8 @@
 		if answer.err != nil {
 			dispatchers.report(key, params.Ended...)
 		} else {
-			dispatchers.heard(key.dispatcher)
+			waited := time.Duration(answer.result.WaitedMS) * time.Millisecond
+			dispatchers.heard(key.dispatcher, clock.Now().Sub(now)-waited)
 		}
 		responses <- answer
 	}()
@@ -348,10 +350,11 @@
 		box.ended, box.due = nil, false
 		dispatchers.mutex.Unlock()
 		ctx, cancel := context.WithTimeout(coordinator.ctx, callTimeout)
+		calledAt := clock.Now()
 		err := coordinator.peers.Call(ctx, key.address, methodDone, params, nil)
 		cancel()
 		if err == nil {
-			dispatchers.heard(key.dispatcher)
+			dispatchers.heard(key.dispatcher, clock.Now().Sub(calledAt))
 			repeated = false
 			continue
 		}
@@ -391,10 +394,23 @@
 	link.pending--
 }
 
-// heard records that a dispatcher has responded.
-func (dispatchers *dispatchers) heard(host string) {
+// replyTimer returns the times that the responses of a dispatcher take. The mutex must be held.
+func (dispatchers *dispatchers) replyTimer(host string) *reply.Timer {
+	timer := dispatchers.replies[host]
+	if timer == nil {
+		timer = reply.New(dispatcherTimeout, longestDispatcherTimeout)
+		// The first timeout of a timer is three times as long as the first response.
+		timer.Record(dispatcherTimeout / 3)
+		dispatchers.replies[host] = timer
+	}
+	return timer
+}
+
+// heard records that a dispatcher has responded, and how long that took.
+func (dispatchers *dispatchers) heard(host string, took time.Duration) {
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
+	dispatchers.replyTimer(host).Record(max(0, took))
 	if link := dispatchers.links[host]; link != nil {
 		link.heardAt, link.extended = clock.Now(), false
 	}
@@ -415,34 +431,41 @@
 		now := clock.Now()
 		late := now.Sub(checkedAt) >= 2*dispatcherCheckInterval
 		checkedAt = now
-		silent, ended := dispatchers.silence(now, link, late)
+		silent, timeout, ended := dispatchers.silence(now, link, key.dispatcher, late)
 		switch {
 		case ended:
 			return
-		case silent >= dispatcherTimeout:
+		case silent >= timeout:
 			dispatchers.lose(link, key)
 			return
-		case silent >= dispatcherProbeAfter:
+		case silent >= probeAfter(timeout):
 			// A message that is under way already asks as well.
 			dispatchers.report(key)
 		}
 	}
 }
 
-// silence returns how long a dispatcher has not responded. It reports whether no request waits for it any more.
-func (dispatchers *dispatchers) silence(now time.Time, link *dispatcherLink, late bool) (silent time.Duration, ended bool) {
+// probeAfter returns how long a dispatcher may be silent before it is asked whether it still responds.
+func probeAfter(timeout time.Duration) time.Duration {
+	return time.Duration(dispatcherProbeFraction * float64(timeout))
+}
+
+// silence returns how long a dispatcher has not responded, and for how long it may be silent. It reports whether no request waits for it
+// any more.
+func (dispatchers *dispatchers) silence(now time.Time, link *dispatcherLink, host string, late bool) (silent, timeout time.Duration, ended bool) {
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
 	if link.pending == 0 {
 		link.watched = false
-		return 0, true
+		return 0, 0, true
 	}
+	timeout = dispatchers.replyTimer(host).Timeout(0)
 	if late && !link.extended {
 		// This host had no processor time, so responses may wait to be read. That counts only once, as it may go on.
 		link.extended = true
-		link.heardAt = latest(link.heardAt, now.Add(-dispatcherProbeAfter))
+		link.heardAt = latest(link.heardAt, now.Add(-probeAfter(timeout)))
 	}
-	return now.Sub(link.heardAt), false
+	return now.Sub(link.heardAt), timeout, false
 }
 
 func latest(left, right time.Time) time.Time {
@@ -462,7 +485,12 @@
 	}
 	delete(dispatchers.links, key.dispatcher)
 	close(link.lost)
-	dispatchers.rank.avoid(key.dispatcher, clock.Now().Add(dispatcherAvoidance))
+	now := clock.Now()
+	silent := now.Sub(link.heardAt)
+	// The dispatcher gets more time when it is asked again.
+	dispatchers.replyTimer(key.dispatcher).Record(silent)
+	dispatchers.rank.avoid(key.dispatcher, now.Add(dispatcherAvoidance))
 	coordinator.metrics.Counter("dispatchers_unreachable").Inc(1)
-	coordinator.log.Info("dispatcher does not respond", "dispatcher", key.dispatcher, "service", key.service, "waiting", link.pending, "silent_ms", clock.Now().Sub(link.heardAt).Milliseconds(), "extended", link.extended)
+	coordinator.log.Info("dispatcher does not respond", "dispatcher", key.dispatcher, "service", key.service, "waiting", link.pending,
+		"silent_ms", silent.Milliseconds(), "extended", link.extended)
 }
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lentilproxy/core/admit"
+	"lentilproxy/core/reply"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -17,11 +18,13 @@
 )
 
 const (
-	// dispatcherTimeout is how long a dispatcher may be silent while a host waits for it.
-	dispatcherTimeout = 100 * time.Millisecond
-	// dispatcherProbeAfter is how long a dispatcher may be silent before a host that waits for it asks whether it still responds, and
-	// dispatcherCheckInterval how often that is checked.
-	dispatcherProbeAfter    = 40 * time.Millisecond
+	// dispatcherTimeout is the shortest time for which a dispatcher may be silent while a host waits for it, and
+	// longestDispatcherTimeout the longest. Between these, it is learned from the dispatcher's responses.
+	dispatcherTimeout        = 100 * time.Millisecond
+	longestDispatcherTimeout = 300 * time.Millisecond
+	// dispatcherProbeFraction is the fraction of this time after which a host that waits for a silent dispatcher asks whether it still
+	// responds, and dispatcherCheckInterval how often that is checked.
+	dispatcherProbeFraction = 0.4
 	dispatcherCheckInterval = 20 * time.Millisecond
 	// dispatcherAvoidance is how long a host does not ask a dispatcher that has not responded.
 	dispatcherAvoidance = 2 * time.Second
@@ -106,9 +109,11 @@
 	// this host has sent without one.
 	running map[string]map[runningKey]int
 	// told holds the dispatchers that count requests of this host which they have not assigned. They have to learn of the ends.
-	told   value.Set[outboxKey]
-	lastID int64
-	waits  tally.Histogram
+	told value.Set[outboxKey]
+	// replies maps dispatchers to the times that their responses take.
+	replies map[string]*reply.Timer
+	lastID  int64
+	waits   tally.Histogram
 }
 
 type runningKey struct {
@@ -154,7 +159,7 @@
 	return &dispatchers{
 		coordinator: coordinator, reports: reports, wake: make(chan struct{}, 1), rank: newHostRank(), services: map[string][]admit.Server{},
 		queues: map[string]*dispatchQueue{}, links: map[string]*dispatcherLink{}, outboxes: map[outboxKey]*outbox{},
-		running: map[string]map[runningKey]int{}, told: value.Set[outboxKey]{},
+		running: map[string]map[runningKey]int{}, told: value.Set[outboxKey]{}, replies: map[string]*reply.Timer{},
 		// A ticket of an earlier start of this host must not be taken for a newer one.
 		lastID: clock.Now().UnixNano(),
 		waits:  coordinator.metrics.Histogram("admission_wait", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
@@ -194,6 +199,10 @@
 	defer dispatchers.mutex.Unlock()
 	dispatchers.rank.setHosts(hosts)
 	dispatchers.rank.setProcessors(processors)
+	maps.DeleteFunc(dispatchers.replies, func(host string, _ *reply.Timer) bool {
+		_, found := hosts[host]
+		return !found
+	})
 	maps.DeleteFunc(dispatchers.told, func(key outboxKey, _ struct{}) bool { return hosts[key.dispatcher] != key.address })
 	names := value.Set[string]{}
 	for name := range hosts {
--- a/io/coord/dispatch_test.go
+++ b/io/coord/dispatch_test.go
@@ -20,9 +20,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// newDispatchHost returns a host with one plain service "shop" that has one server with the given slots, and its address. If frozen is
-// not nil, calls to the host wait for it.
-func newDispatchHost(t *testing.T, name string, slots int, frozen <-chan struct{}) (*Coordinator, string) {
+// newDispatchHost returns a host with one plain service "shop" that has one server with the given slots, and its address. If delay is not
+// nil, it is called before each call to the host is handled.
+func newDispatchHost(t *testing.T, name string, slots int, delay func()) (*Coordinator, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,8 +45,8 @@
 	coordinator.traffic.dispatchers.updateView(clock.Now(), view)
 	control := &control{coordinator: coordinator}
 	server := peer.NewServer(listener, meter, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
-		if frozen != nil {
-			<-frozen
+		if delay != nil {
+			delay()
 		}
 		return control.handle(ctx, method, params)
 	})
@@ -78,8 +78,8 @@
 	return Demand{Service: spec.Service{Name: "shop"}, Class: "r", Due: clock.Now().Add(300 * time.Millisecond), Deadline: clock.Now().Add(wait)}
 }
 
-// dispatchHosts returns hosts that know each other, the dispatcher first.
-func dispatchHosts(t *testing.T, slots int, frozen <-chan struct{}) []*Coordinator {
+// dispatchHosts returns hosts that know each other, the dispatcher first. Delay is that of calls to the dispatcher; it may be nil.
+func dispatchHosts(t *testing.T, slots int, delay func()) []*Coordinator {
 	t.Helper()
 	const count = 5
 	rank := newHostRank()
@@ -92,11 +92,11 @@
 	var hosts []*Coordinator
 	var addresses []string
 	for name := range names {
-		var blocked <-chan struct{}
+		var delayed func()
 		if name == first {
-			blocked = frozen
+			delayed = delay
 		}
-		host, address := newDispatchHost(t, name, slots, blocked)
+		host, address := newDispatchHost(t, name, slots, delayed)
 		hosts, addresses = append(hosts, host), append(addresses, address)
 		if last := len(hosts) - 1; name == first {
 			hosts[0], hosts[last], addresses[0], addresses[last] = hosts[last], hosts[0], addresses[last], addresses[0]
@@ -151,7 +151,7 @@
 func TestFrozenDispatcherIsReplacedByTheNextHost(t *testing.T) {
 	is := is.New(t)
 	frozen := make(chan struct{})
-	hosts := dispatchHosts(t, 2, frozen)
+	hosts := dispatchHosts(t, 2, func() { <-frozen })
 	startedAt := time.Now()
 	admission := hosts[1].Dispatch(t.Context(), demand(2*time.Second))
 	waited := time.Since(startedAt)
@@ -176,6 +176,24 @@
 	t.Fatal("the dispatcher keeps a slot for a request that no longer waits")
 }
 
+// Guards against a dispatcher that is given up again and again, so that several dispatchers assign the same slots, since its responses take
+// longer than a fixed time.
+func TestSlowDispatcherIsGivenMoreTime(t *testing.T) {
+	is := is.New(t)
+	hosts := dispatchHosts(t, 2, func() { time.Sleep(170 * time.Millisecond) })
+	host := hosts[1].traffic.dispatchers
+	hosts[1].Dispatch(t.Context(), demand(2*time.Second)).Assignment.End(admit.OutcomeOK) // Nothing is known about the dispatcher yet.
+	host.mutex.Lock()
+	host.rank.avoid(hosts[0].settings.Host.Name, clock.Now())
+	host.mutex.Unlock()
+	for range 5 {
+		admission := hosts[1].Dispatch(t.Context(), demand(2*time.Second))
+		is.Equal(admission.Outcome, Admitted)
+		is.Equal(admission.Dispatcher, hosts[0].settings.Host.Name)
+		admission.Assignment.End(admit.OutcomeOK)
+	}
+}
+
 // Guards against a slot that is kept until the deadline of a request whose end has overtaken it, also if it is the first one for its
 // service.
 func TestEndBeforeTheFirstRequestOfAService(t *testing.T) {
