Admit: use slots while messages cross slow hosts

Callers of plain services waited or were refused at crests of traffic while slots were empty: a slot counted as in use from the dispatcher's decision until the end of the request had arrived, which on hosts with little processor time takes 10 to 15 ms longer than the request is on its server (60 to 70 ms).

An assignment now counts for the part of its time for which its request is on the server, learned by host from the times that hosts report with ends. Servers may slow down or reject requests when they are full: requests that were assigned beyond the slots are compared with others, and fewer are assigned so if they take longer than the time that they save, or are rejected. Hosts of the previous version count for whole slots.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -119,6 +119,9 @@
 	at       time.Time
 	expires  time.Time
 	server   *server
+	// share is the part of a slot for which the assignment counts, and ahead is set if the server had no free slot.
+	share float64
+	ahead bool
 }
 
 // Queue assigns the servers of one service. It is not safe for concurrent use.
@@ -137,6 +140,8 @@
 	classes *value.Recent[string, *estimate]
 	// errorRate is the usual share of responses that are errors.
 	errorRate float64
+	// ahead decides how many requests servers get beyond their slots.
+	ahead *ahead
 	// usage is what assignments have used of their slots.
 	usage Usage
 	// order is the order of the waiting requests, and returns knows the refused ones.
@@ -153,7 +158,7 @@
 	return &Queue{
 		startedAt: now, servers: map[string]*server{}, assignments: map[Ticket]*assignment{}, work: estimate{mean: initialWork},
 		classes: value.NewRecent[string, *estimate](maxClasses), order: order.New(now, fairSlack), returns: order.NewReturns(),
-		withdrawn: value.NewRecent[Ticket, struct{}](maxWithdrawn),
+		withdrawn: value.NewRecent[Ticket, struct{}](maxWithdrawn), ahead: newAhead(),
 	}
 }
 
@@ -333,7 +338,8 @@
 	request := picked.request
 	added := &assignment{
 		ticket: request.Ticket, class: picked.class, expected: server.expected(picked.class.mean), at: now,
-		expires: request.Deadline.Add(expiryGrace), server: server,
+		expires: request.Deadline.Add(expiryGrace), server: server, ahead: server.inUse(now) >= server.declared.Slots,
+		share: queue.ahead.shareOf(request.Ticket.Host),
 	}
 	queue.assignments[request.Ticket] = added
 	server.assigned = append(server.assigned, added)
@@ -379,26 +385,35 @@
 		return false
 	}
 	queue.drop(ended)
-	if served > 0 {
+	duration := now.Sub(ended.at)
+	if served = min(served, duration); served > 0 {
 		queue.usage.Ended++
-		queue.usage.Assigned += now.Sub(ended.at)
-		queue.usage.Served += min(served, now.Sub(ended.at))
+		queue.usage.Assigned += duration
+		queue.usage.Served += served
 	}
 	switch outcome {
 	case OutcomeOK:
-		queue.learn(now, ended)
+		queue.learn(ended, duration)
+		if served > 0 {
+			queue.ahead.record(ended, duration, served)
+		}
 		queue.errorRate -= errorWeight * queue.errorRate
 	case OutcomeFailed:
 		queue.errorRate += errorWeight * (1 - queue.errorRate)
-	case OutcomeUnreachable, OutcomeRejected, OutcomeUnused:
+	case OutcomeRejected:
+		if ended.ahead {
+			// That the slots are in use says nothing else about the server.
+			queue.ahead.recordRejection()
+			return true
+		}
+	case OutcomeUnreachable, OutcomeUnused:
 	}
 	ended.server.record(now, ended.at, outcome, queue.baselineErrorRate(now, ended.server))
 	return true
 }
 
 // learn updates the usual durations and the speed of a server from a request that has ended well.
-func (queue *Queue) learn(now time.Time, ended *assignment) {
-	duration := now.Sub(ended.at)
+func (queue *Queue) learn(ended *assignment, duration time.Duration) {
 	ended.server.learn(float64(duration) / float64(max(ended.class.mean, time.Millisecond)))
 	ended.class.add(duration)
 	queue.work.add(duration)
@@ -429,6 +444,7 @@
 	}
 	clear(queue.waiting[len(kept):])
 	queue.waiting = kept
+	queue.ahead.retainHosts(hosts)
 	for _, server := range queue.servers {
 		for host := range server.reported {
 			if !hosts.Has(host) {
--- a/core/admit/order.go
+++ b/core/admit/order.go
@@ -27,8 +27,9 @@
 // pick returns the index of the next request and its server. The server is nil if none can be assigned.
 func (queue *Queue) pick(now time.Time) (int, *server) {
 	var free []*server
+	share := queue.ahead.share()
 	for _, server := range queue.ordered {
-		if server.free(now) > 0 {
+		if server.free(now, share) > 0 {
 			free = append(free, server)
 		}
 	}
--- a/core/admit/server.go
+++ b/core/admit/server.go
@@ -66,9 +66,12 @@
 	count int
 }
 
-func (estimate *estimate) add(duration time.Duration) {
+func (estimate *estimate) add(duration time.Duration) { estimate.addWeighted(duration, workWeight) }
+
+// addWeighted adds a duration. Until there are some, it weighs more than the given weight.
+func (estimate *estimate) addWeighted(duration time.Duration, weight float64) {
 	estimate.count++
-	weight := max(workWeight, 1/float64(estimate.count))
+	weight = max(weight, 1/float64(estimate.count))
 	estimate.mean += time.Duration(weight * float64(duration-estimate.mean))
 }
 
@@ -181,7 +184,7 @@
 	rate := 0.0
 	for _, server := range queue.servers {
 		if server.open && !now.Before(server.pausedUntil) {
-			rate += float64(server.limit()) / server.expected(queue.work.mean).Seconds()
+			rate += float64(wholeRequests(float64(server.limit()), queue.ahead.share())) / server.expected(queue.work.mean).Seconds()
 		}
 	}
 	return rate
@@ -213,10 +216,10 @@
 
 // hasFreeSlot reports whether a server that a request may be sent to has a free slot that no other request waits for.
 func (queue *Queue) hasFreeSlot(now time.Time, request Request) bool {
-	free := 0
+	free, share := 0, queue.ahead.share()
 	for _, server := range queue.ordered {
 		if server.mayRun(request) {
-			free += max(0, server.free(now))
+			free += max(0, server.free(now, share))
 		}
 	}
 	return free > len(queue.waiting)
@@ -280,14 +283,6 @@
 	return server.declared.Slots
 }
 
-// free returns the number of further requests that the server may get now.
-func (server *server) free(now time.Time) int {
-	if !server.open || now.Before(server.pausedUntil) {
-		return 0
-	}
-	return server.limit() - server.inUse(now)
-}
-
 // expected returns the expected duration of a request on the server, given the usual one.
 func (server *server) expected(usual time.Duration) time.Duration {
 	return max(time.Millisecond, time.Duration(server.speed*float64(usual)))
