--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -384,6 +384,7 @@
 		if err != nil {
 			coordinator.metrics.Counter("pacers_unreachable").Inc(1)
 			pacers.avoid(clock.Now(), host)
+			coordinator.log.Info("pacer does not respond", "pacer", host, "server", server.ID, "error", err.Error())
 			return nil
 		}
 		return prompt
