--- a/io/coord/assign.go
+++ b/io/coord/assign.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lentilproxy/core/admit"
-	"lentilproxy/core/reply"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -394,23 +393,11 @@
 	link.pending--
 }
 
-// replyTimer returns the times that the responses of a dispatcher take. The mutex must be held.
-func (dispatchers *dispatchers) replyTimer(host string) *reply.Timer {
-	timer := dispatchers.replies[host]
-	if timer == nil {
-		timer = reply.New(dispatcherTimeout, longestDispatcherTimeout)
-		// The first timeout of a timer is three times as long as the first response.
-		timer.Record(dispatcherTimeout / 3)
-		dispatchers.replies[host] = timer
-	}
-	return timer
-}
-
 // heard records that a dispatcher has responded, and how long that took.
 func (dispatchers *dispatchers) heard(host string, took time.Duration) {
 	dispatchers.mutex.Lock()
 	defer dispatchers.mutex.Unlock()
-	dispatchers.replyTimer(host).Record(max(0, took))
+	dispatchers.replies.record(host, took)
 	if link := dispatchers.links[host]; link != nil {
 		link.heardAt, link.extended = clock.Now(), false
 	}
@@ -459,7 +446,7 @@
 		link.watched = false
 		return 0, 0, true
 	}
-	timeout = dispatchers.replyTimer(host).Timeout(0)
+	timeout = dispatchers.replies.timeout(host)
 	if late && !link.extended {
 		// This host had no processor time, so responses may wait to be read. That counts only once, as it may go on.
 		link.extended = true
@@ -488,7 +475,7 @@
 	now := clock.Now()
 	silent := now.Sub(link.heardAt)
 	// The dispatcher gets more time when it is asked again.
-	dispatchers.replyTimer(key.dispatcher).Record(silent)
+	dispatchers.replies.record(key.dispatcher, silent)
 	dispatchers.rank.avoid(key.dispatcher, now.Add(dispatcherAvoidance))
 	coordinator.metrics.Counter("dispatchers_unreachable").Inc(1)
 	coordinator.log.Info("dispatcher does not respond", "dispatcher", key.dispatcher, "service", key.service, "waiting", link.pending,
--- a/io/coord/dispatch.go
+++ b/io/coord/dispatch.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"lentilproxy/core/admit"
-	"lentilproxy/core/reply"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
 	"lentilproxy/core/value"
@@ -111,7 +110,7 @@
 	// told holds the dispatchers that count requests of this host which they have not assigned. They have to learn of the ends.
 	told value.Set[outboxKey]
 	// replies maps dispatchers to the times that their responses take.
-	replies map[string]*reply.Timer
+	replies *replyTimes
 	lastID  int64
 	waits   tally.Histogram
 }
@@ -159,7 +158,7 @@
 	return &dispatchers{
 		coordinator: coordinator, reports: reports, wake: make(chan struct{}, 1), rank: newHostRank(), services: map[string][]admit.Server{},
 		queues: map[string]*dispatchQueue{}, links: map[string]*dispatcherLink{}, outboxes: map[outboxKey]*outbox{},
-		running: map[string]map[runningKey]int{}, told: value.Set[outboxKey]{}, replies: map[string]*reply.Timer{},
+		running: map[string]map[runningKey]int{}, told: value.Set[outboxKey]{}, replies: newReplyTimes(dispatcherTimeout, longestDispatcherTimeout),
 		// A ticket of an earlier start of this host must not be taken for a newer one.
 		lastID: clock.Now().UnixNano(),
 		waits:  coordinator.metrics.Histogram("admission_wait", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
@@ -199,15 +198,12 @@
 	defer dispatchers.mutex.Unlock()
 	dispatchers.rank.setHosts(hosts)
 	dispatchers.rank.setProcessors(processors)
-	maps.DeleteFunc(dispatchers.replies, func(host string, _ *reply.Timer) bool {
-		_, found := hosts[host]
-		return !found
-	})
 	maps.DeleteFunc(dispatchers.told, func(key outboxKey, _ struct{}) bool { return hosts[key.dispatcher] != key.address })
 	names := value.Set[string]{}
 	for name := range hosts {
 		names.Add(name)
 	}
+	dispatchers.replies.retain(names)
 	for _, queue := range dispatchers.queues {
 		queue.queue.RetainHosts(names)
 		for ticket, decided := range queue.decided {
