Coord: learn how long the response of a pacer takes

The time is now learned from the pacer's responses, 100 to 300 ms, as for dispatchers. TestSlowPacerIsGivenMoreTime failed before.

--- a/io/coord/pace.go
+++ b/io/coord/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -9,12 +10,15 @@
 	"lentilproxy/core/pace"
 	"lentilproxy/core/sched"
 	"lentilproxy/core/spec"
+	"lentilproxy/core/value"
 	"lentilproxy/io/clock"
 )
 
 const (
-	// paceCallMargin is how much longer a host waits for a pacer than the pacer may hold a request back.
-	paceCallMargin = 100 * time.Millisecond
+	// paceCallMargin is how much longer at least a host waits for a pacer than the pacer may hold a request back, and
+	// longestPaceCallMargin how much longer at most. Between these, it is learned from the pacer's responses.
+	paceCallMargin        = 100 * time.Millisecond
+	longestPaceCallMargin = 300 * time.Millisecond
 	// pacerAvoidance is how long a host does not use the pacers of a host that has not responded.
 	pacerAvoidance = 2 * time.Second
 	// pauseReportInterval is the least time between two reports of pauses on one server.
@@ -47,8 +51,10 @@
 type paceResult struct {
 	Ticket int64 `json:"ticket"`
 	// Ahead is the number of requests that were ahead when the request arrived. Forced reports that it could not wait any longer.
-	Ahead  int  `json:"ahead,omitempty"`
-	Forced bool `json:"forced,omitempty"`
+	// WaitedMS is how long it was held back.
+	Ahead    int   `json:"ahead,omitempty"`
+	Forced   bool  `json:"forced,omitempty"`
+	WaitedMS int64 `json:"waited_ms,omitempty"`
 	// Granted reports whether the server's lease holder has granted the use of the adapter until the end of the request is
 	// reported. Missing reports that it is not loaded, so that the request must not be sent.
 	Granted bool `json:"granted,omitempty"`
@@ -90,6 +96,8 @@
 	rank *hostRank
 	// reportedAt is when a pause on each server was last reported.
 	reportedAt map[string]time.Time
+	// replies are the times that the responses of pacers take, by address.
+	replies *replyTimes
 	// uses holds the grants for the servers whose lease holder this host is.
 	uses *uses
 }
@@ -103,6 +111,7 @@
 func newPacers() *pacers {
 	return &pacers{
 		servers: map[spec.Incarnation]*serverPacer{}, rank: newHostRank(), reportedAt: map[string]time.Time{}, uses: newUses(),
+		replies: newReplyTimes(paceCallMargin, longestPaceCallMargin),
 	}
 }
 
@@ -111,6 +120,25 @@
 	pacers.mutex.Lock()
 	defer pacers.mutex.Unlock()
 	pacers.rank.setHosts(hosts)
+	addresses := value.Set[string]{}
+	for _, address := range hosts {
+		addresses.Add(address)
+	}
+	pacers.replies.retain(addresses)
+}
+
+// callMargin returns how much longer to wait for the pacer at an address than it may hold a request back.
+func (pacers *pacers) callMargin(address string) time.Duration {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	return pacers.replies.timeout(address)
+}
+
+// recordReply records the time that a response of the pacer at an address took, or for how long there was none.
+func (pacers *pacers) recordReply(address string, took time.Duration) {
+	pacers.mutex.Lock()
+	defer pacers.mutex.Unlock()
+	pacers.replies.record(address, took)
 }
 
 // retain drops the state of servers that are not registered.
@@ -174,7 +202,7 @@
 	ahead, granted := pacers.add(now, ticket, params)
 	forced := false
 	result := func() paceResult {
-		result := paceResult{Ticket: ticket, Ahead: ahead, Forced: forced}
+		result := paceResult{Ticket: ticket, Ahead: ahead, Forced: forced, WaitedMS: clock.Now().Sub(now).Milliseconds()}
 		if use.granted {
 			usage := pacers.usageOf(incarnation)
 			result.Granted, result.Usage = true, &usage
@@ -372,10 +400,18 @@
 	granted := make(chan error, 1)
 	go func() {
 		// The caller's context must not end the call, since the peer's connection is closed if a call times out.
-		callCtx, cancel := context.WithTimeout(coordinator.ctx, request.MaxWait+paceCallMargin)
+		margin := pacers.callMargin(address)
+		callCtx, cancel := context.WithTimeout(coordinator.ctx, request.MaxWait+margin)
 		defer cancel()
+		calledAt := clock.Now()
 		var result paceResult
 		err := coordinator.peers.Call(callCtx, address, methodPace, params, &result)
+		switch {
+		case errors.Is(callCtx.Err(), context.DeadlineExceeded):
+			pacers.recordReply(address, margin)
+		case err == nil:
+			pacers.recordReply(address, clock.Now().Sub(calledAt)-time.Duration(result.WaitedMS)*time.Millisecond)
+		}
 		prompt.apply(result)
 		granted <- err
 	}()
@@ -453,9 +489,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(coordinator.ctx, callTimeout)
 		defer cancel()
+		calledAt := clock.Now()
 		if err := coordinator.peers.Call(ctx, address, method, params, nil); err != nil {
 			coordinator.metrics.Counter("pacers_unreachable").Inc(1)
+			return
 		}
+		coordinator.traffic.pacers.recordReply(address, clock.Now().Sub(calledAt))
 	}()
 }
 
--- a/io/coord/pace_test.go
+++ b/io/coord/pace_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilproxy/core/spec"
+	"lentilproxy/io/clock"
 
 	"github.com/matryer/is"
 )
@@ -91,3 +92,23 @@
 	pacers.retain(map[string]spec.Server{"s": {ID: "s", StartedMillis: 8}})
 	is.Equal(len(pacers.servers), 0) // The server has restarted.
 }
+
+// Guards against prompts that are sent without a grant, and paced by a second host that knows nothing of the server's other prompts, since the
+// responses of the pacer take longer than a fixed time.
+func TestSlowPacerIsGivenMoreTime(t *testing.T) {
+	is := is.New(t)
+	hosts := dispatchHosts(t, 2, func() { time.Sleep(220 * time.Millisecond) })
+	pacers, slow := hosts[1].traffic.pacers, hosts[0].settings.Host.Name
+	pacers.setHosts(map[string]string{slow: hosts[1].traffic.dispatchers.rank.hosts[slow]})
+	server := spec.Server{ID: "s", StartedMillis: 7}
+	request := PromptRequest{Tokens: 5, MaxWait: 50 * time.Millisecond, GapObjective: 300 * time.Millisecond}
+	hosts[1].Pace(t.Context(), server, request).Done() // Nothing is known about the pacer yet.
+	for range 5 {
+		pacers.mutex.Lock()
+		pacers.rank.avoid(slow, clock.Now())
+		pacers.mutex.Unlock()
+		prompt := hosts[1].Pace(t.Context(), server, request)
+		is.True(prompt != nil)
+		prompt.Done()
+	}
+}
