Link: responses to requests of other connections do not fill up a body

A body that was broken off ended only with a response to a request that its own connection had carried.

TestResponsesOfOtherConnectionsDoNotFillBodies failed before.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -146,6 +146,7 @@
 func (response *Response) exchange(request *Request) error {
 	head := encodeHead(request)
 	response.conn.carry(request.ID)
+	response.conn.pool.sent.add(request.ID)
 	if len(head)+len(request.Body) < concurrentWriteBytes {
 		if _, err := response.conn.raw.Write(append(head, request.Body...)); err != nil {
 			return err
@@ -217,7 +218,8 @@
 }
 
 // watchBody makes the reading of a body fail at the beginning of another response. A server may send any one in a body that ends with
-// its connection, and one to the same request or to an earlier one of its connection after a part of a body with a length or chunks.
+// its connection, and one to the same request or to an earlier one after a part of a body with a length or chunks. The earlier request may
+// have had another connection, whose port this one has taken over.
 func (response *Response) watchBody(request *Request) {
 	if request.Method == http.MethodHead {
 		response.response.Body = http.NoBody
@@ -226,7 +228,7 @@
 	source, ends := response.response.Body, response.EndsWithConnection()
 	isResponse := func(second *http.Response) bool {
 		id := request.ResponseID(second.StatusCode, second.Header)
-		if id == "" || !ends && id != request.ID && !response.conn.hasCarried(id) {
+		if id == "" || !ends && id != request.ID && !response.conn.hasCarried(id) && !response.conn.pool.sent.has(id) {
 			return false
 		}
 		response.second = second
--- a/io/link/filled_test.go
+++ b/io/link/filled_test.go
@@ -53,3 +53,45 @@
 		}
 	}
 }
+
+// Guards against a body that was broken off and is filled up by the response to a request that another connection has carried: a server may
+// take a new connection from the same port for the earlier one.
+func TestResponsesOfOtherConnectionsDoNotFillBodies(t *testing.T) {
+	const size = 400
+	is := is.New(t)
+	content := func(id string) string { return id + strings.Repeat("x", size-len(id)) }
+	head := func(id string, more string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, more, size)
+	}
+	server := newFakeServer(t, func(conn net.Conn, _ int, id string) bool {
+		if id == "id-0" {
+			write(conn, head(id, "Connection: close\r\n")+content(id))
+			return false
+		}
+		write(conn, head(id, "")+content(id)[:size/2])
+		time.Sleep(10 * time.Millisecond)
+		write(conn, head("id-0", "")+content("id-0"))
+		time.Sleep(100 * time.Millisecond)
+		return false
+	})
+	pool := newPool(t)
+	body, _, err := send(pool, server, "id-0")
+	is.NoErr(err)
+	is.Equal(body, content("id-0"))
+	body, _, err = send(pool, server, "id-1")
+	is.True(err != nil)
+	is.Equal(body, content("id-1")[:size/2])
+}
+
+// Guards against a memory of requests that grows without a bound, or forgets the last ones.
+func TestSentRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var sent sentRequests
+	for number := range maxSent + 10 {
+		sent.add(fmt.Sprint(number))
+	}
+	is.Equal(len(sent.hashes), maxSent)
+	is.True(!sent.has("9"))
+	is.True(sent.has("10"))
+	is.True(sent.has(fmt.Sprint(maxSent + 9)))
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -116,6 +116,8 @@
 	// limit returns the maximum number of connections to one server of a service; 0 means no limit.
 	limit  func(service string) int
 	onOpen func()
+	// sent holds the last requests to all servers.
+	sent sentRequests
 	// onSurplus is called for bytes that belong to no request.
 	onSurplus func(server string, surplus Surplus, response *http.Response)
 	dialer    *net.Dialer
