--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,9 +1,9 @@
 // Package admit assigns the servers of one plain service to the requests of all hosts.
 //
 // Hosts that choose servers by themselves see the same idle server at the same time, since what they know of each other's
-// requests is older than a request lasts. A queue therefore decides for all of them: a server gets no more requests at a time
+// requests is older than a request lasts. A queue therefore decides for all of them: a server runs no more requests at a time
 // than it has slots, and if all slots are in use, requests wait in one order. The queue learns how long requests take and how
-// fast each server is from the time between an assignment and its end.
+// fast each server is from the time between an assignment and its end, and for which part of it the request is on its server.
 package admit
 
 import (
