--- a/io/link/filled_test.go
+++ b/io/link/filled_test.go
@@ -60,7 +60,7 @@
 	const size = 400
 	is := is.New(t)
 	content := func(id string) string { return id + strings.Repeat("x", size-len(id)) }
-	head := func(id string, more string) string {
+	head := func(id, more string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, more, size)
 	}
 	server := newFakeServer(t, func(conn net.Conn, _ int, id string) bool {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -261,12 +261,8 @@
 	}
 	ctx, cancel := context.WithCancel(call.ctx)
 	defer cancel()
-	call.sentAt = clock.Now()
-	call.dispatched.assignment.Sent(call.sentAt)
-	call.run = &block.Run{Server: server.ID, Incarnation: block.Incarnation(server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
+	call.recordSending(server)
 	defer call.service.coordinator.Blocks().Sent(call.run)()
-	call.resumed = call.lastEvent != ""
-	call.servers = append(call.servers, server.ID)
 	response, err := call.service.links.Do(ctx, server, call.outgoing(server, call.lastEvent))
 	if err != nil {
 		return call.handleSendError(server, err)
@@ -290,6 +286,15 @@
 	}
 }
 
+// recordSending records that the request is sent to a server now.
+func (call *call) recordSending(server spec.Server) {
+	call.sentAt = clock.Now()
+	call.dispatched.assignment.Sent(call.sentAt)
+	call.run = &block.Run{Server: server.ID, Incarnation: block.Incarnation(server.ID, server.StartedMillis), Parts: call.parts, SentAt: call.sentAt}
+	call.resumed = call.lastEvent != ""
+	call.servers = append(call.servers, server.ID)
+}
+
 // pace waits until the prompt may be sent without long pauses for the server's streams. The request is sent within a
 // fraction of its objective in any case.
 func (call *call) pace(server spec.Server) *coord.Prompt {
